--- /dev/null
+++ b/packages/gateway/src/common/configurationInForce.ts
@@ -0,0 +1,53 @@
+/** The configuration in force on this instance. Its version never goes back. */
+import type { Disposable } from '@papayawell/core';
+import { Emitter } from '@papayawell/core';
+import type { GatewayConfiguration } from './gatewayConfiguration.js';
+import type { ReadConfiguration } from './metadataStore.js';
+import { RouteTable } from './routeTable.js';
+
+export type GatewayConfigurationSource = 'store' | 'peer';
+
+export interface GatewayInForce {
+	readonly configuration: GatewayConfiguration;
+	readonly routes: RouteTable;
+	/** As it was read; peers get it unchanged. */
+	readonly encoded: string;
+}
+
+export interface AdoptedConfiguration {
+	readonly inForce: GatewayInForce;
+	readonly previousVersion: number;
+	readonly source: GatewayConfigurationSource;
+}
+
+export class ConfigurationInForce implements Disposable {
+	private readonly adoptEmitter = new Emitter<AdoptedConfiguration>();
+	private inForce: GatewayInForce | undefined;
+
+	/** Fires after a higher version came into force. */
+	public readonly onDidAdopt = this.adoptEmitter.event;
+
+	public get current(): GatewayInForce | undefined {
+		return this.inForce;
+	}
+
+	/** 0 before the first configuration. */
+	public get version(): number {
+		return this.inForce?.configuration.version ?? 0;
+	}
+
+	/** Adopts a configuration whose version is higher than the one in force; returns whether it did. */
+	public offer({ configuration, encoded }: ReadConfiguration, source: GatewayConfigurationSource): boolean {
+		const previousVersion = this.version;
+		if (configuration.version <= previousVersion) {
+			return false;
+		}
+		this.inForce = { configuration, encoded, routes: new RouteTable(configuration) };
+		this.adoptEmitter.fire({ inForce: this.inForce, previousVersion, source });
+		return true;
+	}
+
+	public dispose(): void {
+		this.adoptEmitter.dispose();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/common/eventScanner.ts
@@ -0,0 +1,83 @@
+/** Splits the bytes of an event stream into whole events; a part that its sender did not finish never becomes one. */
+
+export interface ScannedEvent {
+	/** The event with the blank line that ends it. */
+	readonly bytes: Buffer;
+	/** Undefined for comments and events without an id. */
+	readonly id: string | undefined;
+}
+
+/** The largest event that is held until it is whole. */
+const MAX_EVENT_BYTES = 1_048_576;
+const LF = 0x0a;
+const CR = 0x0d;
+const EMPTY = Buffer.alloc(0);
+
+export class EventScanner {
+	private pending: Buffer = EMPTY;
+	/** Where the search for the end of the event goes on. */
+	private scanned = 0;
+
+	public get hasPartialEvent(): boolean {
+		return this.pending.length > 0;
+	}
+
+	public get isOverflowing(): boolean {
+		return this.pending.length > MAX_EVENT_BYTES;
+	}
+
+	/** Adds bytes and returns the events that they complete. */
+	public add(chunk: Buffer): readonly ScannedEvent[] {
+		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+		const events: ScannedEvent[] = [];
+		for (let end = this.findEnd(); end > 0; end = this.findEnd()) {
+			const bytes = this.pending.subarray(0, end);
+			this.pending = this.pending.subarray(end);
+			this.scanned = 0;
+			events.push({ bytes, id: readEventId(bytes) });
+		}
+		return events;
+	}
+
+	/** Forgets a part of an event whose sender is gone. */
+	public dropPartialEvent(): void {
+		this.pending = EMPTY;
+		this.scanned = 0;
+	}
+
+	/** Returns the position after the blank line that ends the first event, or 0. */
+	private findEnd(): number {
+		let position = this.scanned;
+		for (;;) {
+			const lineEnd = this.pending.indexOf(LF, position);
+			if (lineEnd < 0) {
+				return 0;
+			}
+			const next = lineEnd + 1;
+			if (this.pending[next] === LF) {
+				return next + 1;
+			}
+			if (this.pending[next] === CR && this.pending[next + 1] === LF) {
+				return next + 2;
+			}
+			if (next + 1 >= this.pending.length) {
+				this.scanned = lineEnd;
+				return 0;
+			}
+			position = next;
+		}
+	}
+}
+
+function readEventId(bytes: Buffer): string | undefined {
+	let start = 0;
+	while (start < bytes.length) {
+		const lineEnd = bytes.indexOf(LF, start);
+		const end = lineEnd < 0 ? bytes.length : lineEnd;
+		if (bytes[start] === 0x69 && bytes[start + 1] === 0x64 && bytes[start + 2] === 0x3a) {
+			return bytes.toString('utf8', start + 3, end).trim();
+		}
+		start = end + 1;
+	}
+	return undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/common/peerState.ts
@@ -0,0 +1,38 @@
+/** What the instances of the fleet tell each other all the time. */
+
+/** One instance of the fleet. */
+export interface FleetInstance {
+	readonly name: string;
+	/** Changes with each start. */
+	readonly incarnation: string;
+	readonly zone: string;
+	/** Where callers connect. */
+	readonly callersAddress: string;
+	/** Where other instances connect. */
+	readonly controlAddress: string;
+}
+
+export interface PeerState {
+	readonly instance: FleetInstance;
+	/** Whether callers may be sent there. */
+	readonly isServing: boolean;
+	readonly configurationVersion: number;
+	readonly targetsRevision: number;
+	/** Time since the store confirmed the list of targets, in ms. */
+	readonly targetsAgeMs: number;
+	/** Digest of the list of targets, so that equal lists need no transfer. */
+	readonly targetsDigest: number;
+	/** Requests in flight by target; targets without any are left out. */
+	readonly requests: Readonly<Record<string, number>>;
+	/** Contents that crash targets: fingerprint, target and expiry of each crash seen. */
+	readonly crashes: readonly CrashNews[];
+	/** Control addresses of other instances, so that each learns of all. */
+	readonly known: readonly string[];
+}
+
+export interface CrashNews {
+	readonly fingerprint: string;
+	readonly target: string;
+	/** In ms from the sending of the news. */
+	readonly expiresInMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/common/peerTable.ts
@@ -0,0 +1,77 @@
+/** The other instances of the fleet, as their messages show them. */
+import type { PeerState } from './peerState.js';
+
+/** Messages come several times a second; an instance that is quiet for longer is not offered to callers. */
+const QUIET_MS = 1500;
+/** After this long without a message, nothing that an instance said counts any more. */
+const GONE_MS = 4000;
+/** How long the number of instances is remembered, so that shares of common limits do not jump. */
+const COUNT_MEMORY_MS = 20_000;
+
+interface Peer {
+	state: PeerState;
+	heardAtMs: number;
+}
+
+export class PeerTable {
+	private readonly peers = new Map<string, Peer>();
+	private highestCount = 1;
+	private highestCountAtMs = 0;
+
+	constructor(private readonly ownName: string) {}
+
+	/** Notes a message; returns what the instance said before. */
+	public note(state: PeerState, nowMs: number): PeerState | undefined {
+		const { name } = state.instance;
+		if (name === this.ownName) {
+			return undefined;
+		}
+		const known = this.peers.get(name);
+		this.peers.set(name, { state, heardAtMs: nowMs });
+		return known?.state;
+	}
+
+	/** Forgets the instances that have been quiet for long and returns what they last said. */
+	public expire(nowMs: number): readonly PeerState[] {
+		const expired: PeerState[] = [];
+		for (const [name, { state, heardAtMs }] of this.peers) {
+			if (nowMs - heardAtMs > GONE_MS) {
+				this.peers.delete(name);
+				expired.push(state);
+			}
+		}
+		return expired;
+	}
+
+	public listAll(): readonly PeerState[] {
+		return [...this.peers.values()].map(({ state }) => state);
+	}
+
+	/** Lists the instances to which callers may be sent. */
+	public listServing(nowMs: number): readonly PeerState[] {
+		return [...this.peers.values()]
+			.filter(({ state, heardAtMs }) => state.isServing && nowMs - heardAtMs <= QUIET_MS)
+			.map(({ state }) => state);
+	}
+
+	/** Returns how many instances share the common limits, this one included. */
+	public countInstances(nowMs: number): number {
+		const count = this.peers.size + 1;
+		if (count >= this.highestCount || nowMs - this.highestCountAtMs > COUNT_MEMORY_MS) {
+			this.highestCount = count;
+			this.highestCountAtMs = nowMs;
+		}
+		return this.highestCount;
+	}
+
+	/** Position of this instance among all by name: the first one reads the store for the others. */
+	public findOwnRank(nowMs: number): number {
+		let rank = 0;
+		for (const [name, { state, heardAtMs }] of this.peers) {
+			if (state.isServing && nowMs - heardAtMs <= QUIET_MS && name < this.ownName) {
+				rank += 1;
+			}
+		}
+		return rank;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/common/refusal.ts
@@ -0,0 +1,64 @@
+/** Answers of the gateway itself, and when a refused caller best comes back. */
+
+export type RefusalReason =
+	| 'noConfiguration'
+	| 'noRoute'
+	| 'unknownKey'
+	| 'missingId'
+	| 'bodyTooLarge'
+	| 'noTarget'
+	| 'noConnection'
+	| 'targetsBusy'
+	| 'crashingRequest'
+	| 'timeoutBeforeRun'
+	| 'timeout'
+	| 'targetFailed'
+	| 'draining';
+
+export interface OwnAnswer {
+	readonly status: number;
+	/** Undefined: coming back does not help. */
+	readonly retryAfterMs: number | undefined;
+}
+
+/** Targets and instances that restart are back within some hundred ms to seconds. */
+const RECOVERY_RETRY_MS = 400;
+/** Another instance takes the request at once. */
+const OTHER_INSTANCE_RETRY_MS = 20;
+/** Requests in flight end within some hundred ms. */
+const BUSY_RETRY_MS = 150;
+/** Content that crashes targets stays refused for long. */
+const CRASHING_RETRY_MS = 30_000;
+/** Part of the time to come back that is spread at random, so that callers do not return together. */
+const SPREAD = 0.5;
+
+/** @param spread uniform number in [0, 1) */
+export function describeRefusal(reason: RefusalReason, spread: number): OwnAnswer {
+	const retryAfter = (typicalMs: number): number =>
+		Math.round(typicalMs * (1 - SPREAD / 2 + SPREAD * spread));
+	switch (reason) {
+		case 'noRoute':
+			return { status: 404, retryAfterMs: undefined };
+		case 'unknownKey':
+			return { status: 401, retryAfterMs: undefined };
+		case 'missingId':
+			return { status: 400, retryAfterMs: undefined };
+		case 'bodyTooLarge':
+			return { status: 413, retryAfterMs: undefined };
+		case 'noConfiguration':
+		case 'noTarget':
+			return { status: 503, retryAfterMs: retryAfter(RECOVERY_RETRY_MS) };
+		case 'noConnection':
+		case 'targetsBusy':
+		case 'timeoutBeforeRun':
+			return { status: 503, retryAfterMs: retryAfter(BUSY_RETRY_MS) };
+		case 'draining':
+			return { status: 503, retryAfterMs: OTHER_INSTANCE_RETRY_MS };
+		case 'crashingRequest':
+			return { status: 503, retryAfterMs: retryAfter(CRASHING_RETRY_MS) };
+		case 'targetFailed':
+			return { status: 502, retryAfterMs: undefined };
+		case 'timeout':
+			return { status: 504, retryAfterMs: undefined };
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/common/responseParser.ts
@@ -0,0 +1,285 @@
+/**
+ * Reads HTTP/1.1 responses from the bytes of one connection. It tells a whole answer from a broken one by its
+ * framing, and bytes that belong to no request from those that do.
+ */
+
+export type BodyFraming =
+	| { readonly kind: 'none' }
+	| { readonly kind: 'length'; readonly length: number }
+	| { readonly kind: 'chunked' }
+	/** Ends with the connection, if that is closed in order. */
+	| { readonly kind: 'untilClose' };
+
+export interface ResponseHead {
+	readonly status: number;
+	/** Lower-case names; repeated headers are joined by commas. */
+	readonly headers: ReadonlyMap<string, string>;
+	/** As received: name and value in turn. */
+	readonly rawHeaders: readonly string[];
+	readonly framing: BodyFraming;
+	/** Whether the connection may carry another request afterwards. */
+	readonly isPersistent: boolean;
+}
+
+export interface ResponseHandler {
+	onHead(head: ResponseHead): void;
+	onBody(chunk: Buffer): void;
+	/** The answer is whole. False: the bytes that follow belong to another answer, which is read as well. */
+	onComplete(): boolean;
+}
+
+/** The bytes are not a response. */
+export class ResponseFormatError extends Error {}
+
+const MAX_HEAD_BYTES = 65_536;
+const MAX_CHUNK_LINE_BYTES = 4096;
+const HEAD_END = '\r\n\r\n';
+const EMPTY = Buffer.alloc(0);
+
+type ParserState =
+	| { readonly kind: 'head' }
+	| { readonly kind: 'length'; left: number }
+	| { readonly kind: 'chunkSize' }
+	| { readonly kind: 'chunkData'; left: number }
+	| { readonly kind: 'chunkEnd' }
+	| { readonly kind: 'trailer' }
+	| { readonly kind: 'untilClose' }
+	/** The answer to the request in flight is whole. */
+	| { readonly kind: 'done' };
+
+export class ResponseParser {
+	private state: ParserState = { kind: 'head' };
+	private pending: Buffer = EMPTY;
+
+	constructor(
+		private readonly method: string,
+		private readonly handler: ResponseHandler,
+	) {}
+
+	/** Whether no byte of an answer has arrived. */
+	public get isUntouched(): boolean {
+		return this.state.kind === 'head' && this.pending.length === 0;
+	}
+
+	/** Takes the next bytes; returns those that follow a whole answer. Throws a `ResponseFormatError`. */
+	public push(chunk: Buffer): Buffer {
+		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+		while (this.state.kind !== 'done' && this.step()) {
+			// Each step consumes what it can.
+		}
+		if (this.state.kind === 'done') {
+			const surplus = this.pending;
+			this.pending = EMPTY;
+			return surplus;
+		}
+		return EMPTY;
+	}
+
+	/** The connection was closed in order. Returns whether that completed the answer. */
+	public finish(): boolean {
+		if (this.state.kind !== 'untilClose') {
+			return false;
+		}
+		this.state = { kind: 'done' };
+		this.handler.onComplete();
+		return true;
+	}
+
+	/** Returns whether there may be more to do with the pending bytes. */
+	private step(): boolean {
+		const { state } = this;
+		switch (state.kind) {
+			case 'head':
+				return this.readHead();
+			case 'length':
+			case 'chunkData':
+				return this.readBody(state);
+			case 'chunkSize':
+				return this.readChunkSize();
+			case 'chunkEnd':
+				return this.readChunkEnd();
+			case 'trailer':
+				return this.readTrailer();
+			case 'untilClose':
+				return this.readUntilClose();
+			case 'done':
+				return false;
+		}
+	}
+
+	private readHead(): boolean {
+		const end = this.pending.indexOf(HEAD_END);
+		if (end < 0) {
+			if (this.pending.length > MAX_HEAD_BYTES) {
+				throw new ResponseFormatError('The head of the answer is too long.');
+			}
+			checkStart(this.pending);
+			return false;
+		}
+		const head = parseHead(this.pending.toString('latin1', 0, end), this.method);
+		this.pending = this.pending.subarray(end + HEAD_END.length);
+		if (head.status < 200) {
+			return this.pending.length > 0;
+		}
+		this.handler.onHead(head);
+		this.startBody(head.framing);
+		return true;
+	}
+
+	private startBody(framing: BodyFraming): void {
+		switch (framing.kind) {
+			case 'none':
+				this.complete();
+				return;
+			case 'length':
+				if (framing.length === 0) {
+					this.complete();
+					return;
+				}
+				this.state = { kind: 'length', left: framing.length };
+				return;
+			case 'chunked':
+				this.state = { kind: 'chunkSize' };
+				return;
+			case 'untilClose':
+				this.state = { kind: 'untilClose' };
+				return;
+		}
+	}
+
+	private readBody(state: { readonly kind: 'length' | 'chunkData'; left: number }): boolean {
+		const taken = this.pending.subarray(0, state.left);
+		if (taken.length === 0) {
+			return false;
+		}
+		this.pending = this.pending.subarray(taken.length);
+		state.left -= taken.length;
+		this.handler.onBody(taken);
+		if (state.left === 0) {
+			if (state.kind === 'length') {
+				this.complete();
+			} else {
+				this.state = { kind: 'chunkEnd' };
+			}
+		}
+		return this.pending.length > 0;
+	}
+
+	private readChunkSize(): boolean {
+		const line = this.takeLine();
+		if (line === undefined) {
+			return false;
+		}
+		const digits = /^([0-9a-f]{1,8})[ \t]*(;.*)?$/i.exec(line)?.[1];
+		if (digits === undefined) {
+			throw new ResponseFormatError('The size of a chunk is malformed.');
+		}
+		const left = Number.parseInt(digits, 16);
+		this.state = left === 0 ? { kind: 'trailer' } : { kind: 'chunkData', left };
+		return true;
+	}
+
+	private readChunkEnd(): boolean {
+		if (this.pending.length < 2) {
+			return false;
+		}
+		if (this.pending[0] !== 0x0d || this.pending[1] !== 0x0a) {
+			throw new ResponseFormatError('A chunk does not end where its size says.');
+		}
+		this.pending = this.pending.subarray(2);
+		this.state = { kind: 'chunkSize' };
+		return true;
+	}
+
+	private readTrailer(): boolean {
+		const line = this.takeLine();
+		if (line === undefined) {
+			return false;
+		}
+		if (line === '') {
+			this.complete();
+		}
+		return true;
+	}
+
+	private readUntilClose(): boolean {
+		const taken = this.pending;
+		this.pending = EMPTY;
+		if (taken.length > 0) {
+			this.handler.onBody(taken);
+		}
+		return false;
+	}
+
+	private takeLine(): string | undefined {
+		const end = this.pending.indexOf('\r\n');
+		if (end < 0) {
+			if (this.pending.length > MAX_CHUNK_LINE_BYTES) {
+				throw new ResponseFormatError('A line of the chunked body is too long.');
+			}
+			return undefined;
+		}
+		const line = this.pending.toString('latin1', 0, end);
+		this.pending = this.pending.subarray(end + 2);
+		return line;
+	}
+
+	private complete(): void {
+		this.state = this.handler.onComplete() ? { kind: 'done' } : { kind: 'head' };
+	}
+}
+
+/** Refuses bytes that cannot become a response before a whole head is there. */
+function checkStart(bytes: Buffer): void {
+	const start = bytes.toString('latin1', 0, 5);
+	if (!'HTTP/'.startsWith(start)) {
+		throw new ResponseFormatError('The bytes are not an HTTP response.');
+	}
+}
+
+function parseHead(text: string, method: string): ResponseHead {
+	const lines = text.split('\r\n');
+	const match = /^HTTP\/1\.([01]) ([1-5]\d\d)(?: |$)/.exec(lines[0] ?? '');
+	if (match === null) {
+		throw new ResponseFormatError('The status line is malformed.');
+	}
+	const status = Number(match[2]);
+	const headers = new Map<string, string>();
+	const rawHeaders: string[] = [];
+	for (const line of lines.slice(1)) {
+		const colon = line.indexOf(':');
+		if (colon <= 0 || /[\s]/.test(line.slice(0, colon))) {
+			throw new ResponseFormatError('A header is malformed.');
+		}
+		const name = line.slice(0, colon);
+		const value = line.slice(colon + 1).trim();
+		rawHeaders.push(name, value);
+		const key = name.toLowerCase();
+		const known = headers.get(key);
+		headers.set(key, known === undefined ? value : `${known}, ${value}`);
+	}
+	const framing = findFraming(status, headers, method);
+	const connection = headers.get('connection')?.toLowerCase();
+	const isPersistent =
+		framing.kind !== 'untilClose' &&
+		(match[1] === '1' ? connection !== 'close' : connection === 'keep-alive');
+	return { status, headers, rawHeaders, framing, isPersistent };
+}
+
+function findFraming(status: number, headers: ReadonlyMap<string, string>, method: string): BodyFraming {
+	const encoding = headers.get('transfer-encoding')?.toLowerCase();
+	const length = headers.get('content-length');
+	if (encoding !== undefined && (encoding !== 'chunked' || length !== undefined)) {
+		throw new ResponseFormatError('The framing of the answer is ambiguous.');
+	}
+	if (length !== undefined && !/^\d{1,15}$/.test(length)) {
+		throw new ResponseFormatError('The length of the answer is malformed.');
+	}
+	if (method === 'HEAD' || status < 200 || status === 204 || status === 304) {
+		return { kind: 'none' };
+	}
+	if (encoding !== undefined) {
+		return { kind: 'chunked' };
+	}
+	return length === undefined ? { kind: 'untilClose' } : { kind: 'length', length: Number(length) };
+}
--- /dev/null
+++ b/packages/gateway/src/common/retryWindow.ts
@@ -0,0 +1,66 @@
+/**
+ * Limits how often requests of one service are sent once more, over a sliding window. All instances of the
+ * fleet share the allowance: each takes what its own requests earn and an even part of the fixed slack.
+ */
+
+export interface RetryWindowSettings {
+	/** Sends beyond the first that each request earns. */
+	readonly ratio: number;
+	readonly windowMs: number;
+	/** Sends beyond the first that the whole fleet may make in a window, whatever the number of requests. */
+	readonly slack: number;
+}
+
+/** Part of the allowance that is used, since instances count their windows apart. */
+const SAFETY_SHARE = 0.75;
+/** Parts into which a window is counted. */
+const BUCKETS = 10;
+
+interface Bucket {
+	requests: number;
+	retries: number;
+}
+
+export class RetryWindow {
+	private readonly buckets: Bucket[] = [];
+	private newest = 0;
+
+	constructor(private readonly settings: RetryWindowSettings) {}
+
+	public noteRequest(nowMs: number): void {
+		this.getBucket(nowMs).requests += 1;
+	}
+
+	/** Takes one send beyond the first; false if the window's allowance is spent. */
+	public take(nowMs: number, instances: number): boolean {
+		const bucket = this.getBucket(nowMs);
+		let requests = 0;
+		let retries = 0;
+		for (const { requests: more, retries: taken } of this.buckets) {
+			requests += more;
+			retries += taken;
+		}
+		const { ratio, slack } = this.settings;
+		const allowance = SAFETY_SHARE * (ratio * requests + slack / Math.max(1, instances));
+		if (retries + 1 > allowance) {
+			return false;
+		}
+		bucket.retries += 1;
+		return true;
+	}
+
+	private getBucket(nowMs: number): Bucket {
+		const number = Math.floor((nowMs * BUCKETS) / this.settings.windowMs);
+		const skipped = Math.min(BUCKETS, number - this.newest);
+		for (let step = 0; step < skipped; step++) {
+			this.buckets.push({ requests: 0, retries: 0 });
+		}
+		this.newest = Math.max(this.newest, number);
+		this.buckets.splice(0, Math.max(0, this.buckets.length - BUCKETS));
+		const last = this.buckets.at(-1) ?? { requests: 0, retries: 0 };
+		if (this.buckets.length === 0) {
+			this.buckets.push(last);
+		}
+		return last;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/common/routeTable.ts
@@ -0,0 +1,61 @@
+/** Finds the route and the customer of a request. */
+import type { Customer, GatewayConfiguration, Route, WeightedService } from './gatewayConfiguration.js';
+
+export type RouteAnswer =
+	| { readonly kind: 'found'; readonly route: Route; readonly customer: Customer | undefined }
+	| { readonly kind: 'noRoute' }
+	| { readonly kind: 'unknownKey' };
+
+export class RouteTable {
+	/** Routes of each host, longest prefix first. */
+	private readonly routesByHost = new Map<string, Route[]>();
+
+	constructor(private readonly configuration: GatewayConfiguration) {
+		for (const route of configuration.routes) {
+			const host = route.host.toLowerCase();
+			const routes = this.routesByHost.get(host) ?? [];
+			routes.push(route);
+			this.routesByHost.set(host, routes);
+		}
+		for (const routes of this.routesByHost.values()) {
+			routes.sort((a, b) => b.prefix.length - a.prefix.length);
+		}
+	}
+
+	/**
+	 * @param host the host that the caller named, with or without a port
+	 * @param path the path as it was sent, without the query
+	 * @param key the caller's key, if it sent one
+	 */
+	public find(host: string, path: string, key: string | undefined): RouteAnswer {
+		const routes = this.routesByHost.get(removePort(host).toLowerCase());
+		const route = routes?.find(({ prefix }) => path.startsWith(prefix));
+		if (route === undefined) {
+			return { kind: 'noRoute' };
+		}
+		const { customersByKey } = this.configuration;
+		const customer = key === undefined ? undefined : customersByKey?.get(key);
+		if (customersByKey !== undefined && customer === undefined && !route.isPublic) {
+			return { kind: 'unknownKey' };
+		}
+		return { kind: 'found', route, customer };
+	}
+}
+
+/** Picks a service of a split route. `share` is a uniform number in [0, 1). */
+export function pickService(services: readonly WeightedService[], share: number): string | undefined {
+	const total = services.reduce((sum, { weight }) => sum + weight, 0);
+	let rest = share * total;
+	for (const { service, weight } of services) {
+		rest -= weight;
+		if (rest < 0) {
+			return service;
+		}
+	}
+	return services.at(-1)?.service;
+}
+
+function removePort(host: string): string {
+	const colon = host.lastIndexOf(':');
+	return colon > 0 && /^\d+$/.test(host.slice(colon + 1)) ? host.slice(0, colon) : host;
+}
--- /dev/null
+++ b/packages/gateway/src/common/targetState.ts
@@ -0,0 +1,52 @@
+/** What this instance knows of one target beside its entry: load, health, pace. */
+import { hashTextTo32 } from '@papayawell/core';
+import { SILENCE_MS, TargetHealth } from './targetHealth.js';
+import type { TargetRecord } from './targetRecord.js';
+
+/** Weight of the newest answer in the smoothed time to the head of an answer. */
+const PACE_WEIGHT = 0.1;
+
+export class TargetState {
+	public readonly nameHash: number;
+	public readonly health = new TargetHealth();
+	/** Requests of this instance in flight there. */
+	public ownRequests = 0;
+	/** Requests of the other instances in flight there, as they last told. */
+	public peerRequests = 0;
+	/** Smoothed time to the head of an answer, in ms; 0 before the first one. */
+	public headMs = 0;
+	private lastByteAtMs = -Infinity;
+	/** Until then silence means nothing: it may be reading a prompt. */
+	private quietUntilMs = -Infinity;
+
+	constructor(public record: TargetRecord) {
+		this.nameHash = hashTextTo32(record.id);
+	}
+
+	public get load(): number {
+		return this.ownRequests + this.peerRequests;
+	}
+
+	/** @param quietMs time that the request may take before its first byte */
+	public noteSent(nowMs: number, quietMs: number): void {
+		this.quietUntilMs = Math.max(this.quietUntilMs, nowMs + quietMs + SILENCE_MS);
+		this.ownRequests += 1;
+	}
+
+	public noteEnded(): void {
+		this.ownRequests -= 1;
+	}
+
+	public noteByte(nowMs: number): void {
+		this.lastByteAtMs = nowMs;
+	}
+
+	public noteHead(elapsedMs: number): void {
+		this.headMs = this.headMs === 0 ? elapsedMs : this.headMs + PACE_WEIGHT * (elapsedMs - this.headMs);
+	}
+
+	/** Whether it works on requests of this instance and has sent nothing for long. */
+	public isSilent(nowMs: number): boolean {
+		return this.ownRequests > 0 && nowMs > this.quietUntilMs && nowMs - this.lastByteAtMs > SILENCE_MS;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/common/targetTable.ts
@@ -0,0 +1,171 @@
+/** All targets that this instance knows, and the choice of one for a request. */
+import { hashPair } from '@papayawell/core';
+import { TargetState } from './targetState.js';
+import type { ViewChange } from './targetView.js';
+
+/**
+ * A target takes a request while its load stays within this multiple of the mean plus the slack. Below the
+ * deployment's promise (2 x mean + 3), since the loads of the other instances are some hundred ms old.
+ */
+const LOAD_FACTOR = 1.5;
+const LOAD_SLACK = 2;
+/** Cost of leaving the zone when loads are equal, in requests. */
+const OTHER_ZONE_COST = 0.5;
+
+export interface PlacementRequest {
+	readonly service: string;
+	/** Hash of what the target should have cached; undefined if any target serves equally well. */
+	readonly affinityHash: number | undefined;
+	/** Targets that are not to be taken. */
+	readonly excluded: ReadonlySet<string>;
+}
+
+export type PlacementReason =
+	/** First in the order of the affinity hash. */
+	| 'affinity'
+	/** Those before it in that order were at the load bound. */
+	| 'overflow'
+	| 'leastLoaded'
+	/** No healthy target was left; it may have recovered. */
+	| 'lastResort';
+
+export interface Placement {
+	readonly target: TargetState;
+	readonly reason: PlacementReason;
+	/** Mean load of the targets that were considered. */
+	readonly meanLoad: number;
+}
+
+export class TargetTable {
+	private readonly states = new Map<string, TargetState>();
+	private readonly byService = new Map<string, TargetState[]>();
+
+	constructor(private readonly ownZone: string) {}
+
+	public get all(): Iterable<TargetState> {
+		return this.states.values();
+	}
+
+	public find(id: string): TargetState | undefined {
+		return this.states.get(id);
+	}
+
+	/** Takes the changes of the view. What is known of a target is kept until it starts again. */
+	public apply({ added, changed, removed }: ViewChange): void {
+		for (const { id } of removed) {
+			this.states.delete(id);
+		}
+		for (const record of [...added, ...changed]) {
+			const known = this.states.get(record.id);
+			if (known?.record.startedAtMs === record.startedAtMs) {
+				known.record = record;
+			} else {
+				this.states.set(record.id, new TargetState(record));
+			}
+		}
+		this.byService.clear();
+		for (const state of this.states.values()) {
+			const { service } = state.record;
+			const states = this.byService.get(service) ?? [];
+			states.push(state);
+			this.byService.set(service, states);
+		}
+	}
+
+	/** Takes what the other instances have in flight, each by target. */
+	public setPeerRequests(peers: readonly Readonly<Record<string, number>>[]): void {
+		for (const state of this.states.values()) {
+			state.peerRequests = 0;
+		}
+		for (const requests of peers) {
+			for (const [id, count] of Object.entries(requests)) {
+				const state = this.states.get(id);
+				if (state !== undefined) {
+					state.peerRequests += count;
+				}
+			}
+		}
+	}
+
+	public hasService(service: string): boolean {
+		return this.byService.has(service);
+	}
+
+	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
+		const serving = (this.byService.get(request.service) ?? []).filter(({ record }) => !record.isLeaving);
+		const healthy = selectHealthy(serving, nowMs);
+		const candidates = healthy.filter(({ record }) => !request.excluded.has(record.id));
+		if (candidates.length === 0) {
+			return this.chooseLastResort(serving, request);
+		}
+		const meanLoad = healthy.reduce((sum, { load }) => sum + load, 0) / healthy.length;
+		if (request.affinityHash !== undefined) {
+			return chooseByAffinity(candidates, request.affinityHash, meanLoad);
+		}
+		return { target: this.findCheapest(candidates), reason: 'leastLoaded', meanLoad };
+	}
+
+	/** Takes a target that is left out for its health when there is no other. */
+	private chooseLastResort(
+		serving: readonly TargetState[],
+		request: PlacementRequest,
+	): Placement | undefined {
+		const candidates = serving.filter(({ record }) => !request.excluded.has(record.id));
+		if (candidates.length === 0) {
+			return undefined;
+		}
+		return { target: this.findCheapest(candidates), reason: 'lastResort', meanLoad: 0 };
+	}
+
+	/** Weighs load, pace and zone. */
+	private findCheapest(candidates: readonly TargetState[]): TargetState {
+		const paces = candidates.map(({ headMs }) => headMs).filter((pace) => pace > 0);
+		const typicalMs = paces.length === 0 ? 1 : Math.min(...paces);
+		return findLowest(candidates, (target) => {
+			const zoneCost = target.record.zone === this.ownZone ? 0 : OTHER_ZONE_COST;
+			const pace = Math.max(target.headMs, typicalMs) / typicalMs;
+			return (target.load / target.record.slots + 0.2 + zoneCost / 10) * pace + Math.random() * 0.02;
+		});
+	}
+}
+
+function selectHealthy(serving: readonly TargetState[], nowMs: number): TargetState[] {
+	const reachable = serving.filter((target) => !target.health.isSuspended(nowMs) && !target.isSilent(nowMs));
+	const lowestShare = reachable.reduce((lowest, { health }) => Math.min(lowest, health.failureShare), 1);
+	return reachable.filter(({ health }) => !health.isFailing(lowestShare));
+}
+
+/** Walks the targets in the order of their rendezvous hashes; the first one within the load bound takes it. */
+function chooseByAffinity(
+	candidates: readonly TargetState[],
+	affinityHash: number,
+	meanLoad: number,
+): Placement {
+	const limit = LOAD_FACTOR * meanLoad + LOAD_SLACK;
+	const preferred = findLowest(candidates, (target) => -hashPair(affinityHash, target.nameHash));
+	if (preferred.load + 1 <= limit) {
+		return { target: preferred, reason: 'affinity', meanLoad };
+	}
+	const within = candidates.filter(({ load }) => load + 1 <= limit);
+	if (within.length > 0) {
+		const target = findLowest(within, ({ nameHash }) => -hashPair(affinityHash, nameHash));
+		return { target, reason: 'overflow', meanLoad };
+	}
+	return { target: findLowest(candidates, ({ load }) => load), reason: 'overflow', meanLoad };
+}
+
+function findLowest(targets: readonly TargetState[], weigh: (target: TargetState) => number): TargetState {
+	let best: TargetState | undefined;
+	let lowest = Infinity;
+	for (const target of targets) {
+		const cost = weigh(target);
+		if (best === undefined || cost < lowest) {
+			best = target;
+			lowest = cost;
+		}
+	}
+	if (best === undefined) {
+		throw new RangeError('There is no target to choose from.');
+	}
+	return best;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,13 @@
+/** Public interface of the gateway package: the serving path of routes. */
+export type { EventLog, LogClass, LogFields } from './common/eventLog.js';
+export * from './common/gatewayConfiguration.js';
+export * from './common/gatewayRequest.js';
+export * from './common/metadataStore.js';
+export type { FleetInstance } from './common/peerState.js';
+export type { TargetRecord } from './common/targetRecord.js';
+export type { ListedTargets } from './common/targetView.js';
+export type { Gateway, GatewayDependencies, GatewaySettings } from './node/gateway.js';
+export { createGateway } from './node/gateway.js';
+export { splitAddress } from './node/peerLink.js';
+export type { ProcessLog } from './node/roarrLog.js';
+export { openProcessLog } from './node/roarrLog.js';
--- /dev/null
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -0,0 +1,114 @@
+/** Writes one answer to a caller. An answer that cannot be completed is broken off, so that it never looks whole. */
+import type { ServerResponse } from 'node:http';
+import type { ResponseHead } from '../common/responseParser.js';
+
+/** Headers that concern one connection only. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+]);
+
+export class CallerAnswer {
+	private hasHead = false;
+	private isEnded = false;
+
+	/** @param isForwarded whether a header of a target goes to the caller */
+	constructor(
+		private readonly response: ServerResponse,
+		private readonly isForwarded: (name: string) => boolean,
+		private readonly isClosing: () => boolean,
+	) {}
+
+	/** Whether the head went out. */
+	public get hasStarted(): boolean {
+		return this.hasHead;
+	}
+
+	/** Sends a target's whole answer. */
+	public sendWhole(head: ResponseHead, body: Buffer): void {
+		this.writeHead(head, head.framing.kind === 'none' ? undefined : body.length);
+		this.isEnded = true;
+		this.response.end(body);
+	}
+
+	/** Begins a target's answer whose body follows; its length is kept if it has one. */
+	public start(head: ResponseHead): void {
+		this.writeHead(head, head.framing.kind === 'length' ? head.framing.length : undefined);
+	}
+
+	/** False: wait for `onDrain` before the next part. */
+	public write(chunk: Buffer): boolean {
+		return this.response.write(chunk);
+	}
+
+	public onDrain(listener: () => void): void {
+		this.response.once('drain', listener);
+	}
+
+	public end(): void {
+		this.isEnded = true;
+		this.response.end();
+	}
+
+	/** Breaks a started answer off. */
+	public cut(): void {
+		this.isEnded = true;
+		this.response.destroy();
+	}
+
+	/** Sends an answer of the gateway itself. */
+	public sendOwn(status: number, headers: Readonly<Record<string, string>>, detail: string): void {
+		if (this.hasHead || this.isEnded) {
+			this.cut();
+			return;
+		}
+		const body = Buffer.from(JSON.stringify({ status, detail }));
+		this.hasHead = true;
+		this.isEnded = true;
+		this.response.writeHead(status, {
+			...headers,
+			...(this.isClosing() ? { Connection: 'close' } : {}),
+			'Content-Type': 'application/json',
+			'Content-Length': String(body.length),
+		});
+		this.response.end(body);
+	}
+
+	private writeHead(head: ResponseHead, bodyBytes: number | undefined): void {
+		this.hasHead = true;
+		const named = listConnectionTokens(head);
+		const headers: string[] = [];
+		for (let index = 0; index + 1 < head.rawHeaders.length; index += 2) {
+			const name = head.rawHeaders[index] ?? '';
+			const key = name.toLowerCase();
+			if (
+				CONNECTION_HEADERS.has(key) ||
+				named.has(key) ||
+				key === 'content-length' ||
+				!this.isForwarded(key)
+			) {
+				continue;
+			}
+			headers.push(name, head.rawHeaders[index + 1] ?? '');
+		}
+		if (bodyBytes !== undefined) {
+			headers.push('Content-Length', String(bodyBytes));
+		}
+		if (this.isClosing()) {
+			headers.push('Connection', 'close');
+		}
+		this.response.writeHead(head.status, headers);
+	}
+}
+
+function listConnectionTokens(head: ResponseHead): ReadonlySet<string> {
+	const value = head.headers.get('connection');
+	return new Set(value?.split(',').map((token) => token.trim().toLowerCase()));
+}
--- /dev/null
+++ b/packages/gateway/src/node/exchange.ts
@@ -0,0 +1,414 @@
+/** One request from the moment at which it is read whole to the last byte of its answer. */
+import type { SuspectBook, SuspectRun } from '@papayawell/core';
+import { computeAffinityHash } from '../common/affinity.js';
+import { decideAfterFailure } from '../common/attemptDecision.js';
+import type { EventLog } from '../common/eventLog.js';
+import type { Customer, Route } from '../common/gatewayConfiguration.js';
+import { isRepeatable } from '../common/gatewayConfiguration.js';
+import type { GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
+import type { RefusalReason } from '../common/refusal.js';
+import { describeRefusal } from '../common/refusal.js';
+import type { ResponseHead } from '../common/responseParser.js';
+import { pickService } from '../common/routeTable.js';
+import type { TargetState } from '../common/targetState.js';
+import type { Placement, TargetTable } from '../common/targetTable.js';
+import type { AttemptFailure, AttemptResult } from './attemptAnswer.js';
+import { AttemptAnswer } from './attemptAnswer.js';
+import type { CallerAnswer } from './callerAnswer.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { TargetCaller } from './targetCaller.js';
+
+/** A further attempt needs at least this much time to be worth sending. */
+const MIN_ATTEMPT_MS = 30;
+/** Lowest and highest priority that targets know. */
+const MAX_PRIORITY = 9;
+/** Prompt tokens that a busy engine reads in a ms at least, for the time it may be silent. */
+const SLOW_PREFILL_TOKENS_PER_MS = 10;
+
+export interface ExchangeParts {
+	readonly codec: HeaderCodec;
+	readonly targets: TargetTable;
+	readonly caller: TargetCaller;
+	readonly suspects: SuspectBook;
+	readonly log: EventLog;
+	readonly metrics: GatewayMetrics;
+	/** Notes the first send of a request to a service. */
+	readonly noteRequest: (service: string) => void;
+	/** Takes one send beyond the first to a service from the fleet's allowance. */
+	readonly takeRetry: (service: string) => boolean;
+	/** Notes that a connection to the target broke while it worked on `run`. */
+	readonly onBroken: (target: TargetState, run: SuspectRun) => void;
+	/** Age of the list of targets in ms. */
+	readonly readTargetsAge: () => number;
+}
+
+export interface ExchangeInput {
+	readonly request: GatewayRequest;
+	readonly route: Route;
+	readonly customer: Customer | undefined;
+	readonly body: Buffer;
+	/** Names customer and content of the request. */
+	readonly fingerprint: string;
+	readonly receivedAtMs: number;
+	readonly configurationVersion: number;
+}
+
+interface CurrentAttempt {
+	readonly target: TargetState;
+	readonly answer: AttemptAnswer;
+	readonly run: SuspectRun;
+	isSent: boolean;
+}
+
+export class Exchange {
+	private readonly service: string;
+	private readonly affinityHash: number | undefined;
+	private readonly tried = new Set<string>();
+	private readonly path: string[] = [];
+	private readonly timer: NodeJS.Timeout;
+	private readonly endsAtMs: number;
+	private attempt: CurrentAttempt | undefined;
+	private runs = 0;
+	private sends = 0;
+	private lastEventId: string | undefined;
+	private hasEvents = false;
+	/** A target's own failure, for the caller if no further attempt does better. */
+	private fallback: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
+	private firstAtMs: number | undefined;
+	private isEnded = false;
+
+	/** @param onEnded called once when nothing more happens */
+	constructor(
+		private readonly parts: ExchangeParts,
+		private readonly input: ExchangeInput,
+		private readonly answer: CallerAnswer,
+		private readonly onEnded: () => void,
+	) {
+		const { route, request, receivedAtMs } = input;
+		this.service = pickService(route.services, Math.random()) ?? '';
+		this.affinityHash = route.hasAffinity ? computeAffinityHash(request) : undefined;
+		this.lastEventId = request.lastEventId;
+		const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
+		this.endsAtMs = receivedAtMs + limitMs;
+		this.timer = setTimeout(
+			() => {
+				this.handleTimeout();
+			},
+			Math.max(0, this.endsAtMs - performance.now()),
+		);
+	}
+
+	public start(): void {
+		const { suspects, noteRequest } = this.parts;
+		noteRequest(this.service);
+		const standing = suspects.check(this.input.fingerprint, performance.now());
+		switch (standing.kind) {
+			case 'clear':
+				this.sendNext();
+				return;
+			case 'quarantined':
+				this.refuse('crashingRequest', standing.reason);
+				return;
+			case 'suspect':
+				if (standing.isRunning) {
+					this.refuse('crashingRequest', 'the same content is running after it crashed a target');
+					return;
+				}
+				for (const id of standing.avoid) {
+					this.tried.add(id);
+				}
+				this.sendNext();
+				return;
+		}
+	}
+
+	/** The caller went away: nothing of the request goes on. */
+	public abandon(): void {
+		if (!this.isEnded) {
+			this.dropAttempt();
+			this.end('abandoned', { detail: 'the caller closed its connection' });
+		}
+	}
+
+	/** Moves a request off a target that has gone silent, where it may be sent again. */
+	public checkSilence(nowMs: number): void {
+		const { attempt } = this;
+		if (attempt === undefined || !attempt.isSent || !attempt.target.isSilent(nowMs)) {
+			return;
+		}
+		if (!isRepeatable(this.input.route) || this.decide(true) === 'fail' || this.decide(true) === 'cut') {
+			return;
+		}
+		attempt.answer.cancel();
+		this.handleResult({
+			kind: 'failed',
+			failure: 'silent',
+			mayHaveRun: true,
+			detail: 'the target sends nothing',
+		});
+	}
+
+	private sendNext(): void {
+		const placement = this.parts.targets.choose(
+			{ service: this.service, affinityHash: this.affinityHash, excluded: this.tried },
+			performance.now(),
+		);
+		if (placement === undefined) {
+			this.giveUp('noTarget', `service ${this.service} has no target that takes work`);
+			return;
+		}
+		if (!this.send(placement)) {
+			this.tried.add(placement.target.record.id);
+			this.giveUp('noConnection', `no further connection to ${placement.target.record.id} is allowed`);
+		}
+	}
+
+	private send(placement: Placement): boolean {
+		const { request, route, customer, body, fingerprint } = this.input;
+		const { target } = placement;
+		const { record } = target;
+		const nowMs = performance.now();
+		const isContinuation = this.hasEvents;
+		const answer = new AttemptAnswer({
+			answer: this.answer,
+			isStream: route.kind === 'stream',
+			isContinuation,
+			readLastEventId: () => (this.hasEvents ? this.lastEventId : undefined),
+			onSending: () => {
+				this.noteSending();
+			},
+			onEvent: (id) => {
+				this.hasEvents = true;
+				this.lastEventId = id ?? this.lastEventId;
+			},
+			onStarted: () => {
+				this.firstAtMs ??= performance.now();
+			},
+			onResult: (result) => {
+				this.handleResult(result);
+			},
+		});
+		const run = this.parts.suspects.start(fingerprint, {
+			instance: record.id,
+			incarnation: String(record.startedAtMs),
+		});
+		const attempt: CurrentAttempt = { target, answer, run, isSent: false };
+		this.attempt = attempt;
+		this.path.push(`${record.id}:${placement.reason}:${target.load}/${placement.meanLoad.toFixed(1)}`);
+		target.noteSent(nowMs, this.estimateReadingTime());
+		const call = this.parts.caller.send(
+			target,
+			request,
+			body,
+			{
+				target: record.id,
+				remainingMs: Math.max(1, Math.floor(this.endsAtMs - nowMs)),
+				customer: customer?.name,
+				priority: Math.min(MAX_PRIORITY, customer?.priority ?? route.priority),
+				resumeAfter: isContinuation ? this.lastEventId : request.lastEventId,
+			},
+			isRepeatable(route),
+			answer,
+		);
+		if (call === undefined) {
+			this.closeAttempt('failed');
+			return false;
+		}
+		answer.bind(call);
+		this.tried.add(record.id);
+		return true;
+	}
+
+	private noteSending(): void {
+		this.sends += 1;
+		this.runs += 1;
+		if (this.attempt !== undefined) {
+			this.attempt.isSent = true;
+		}
+	}
+
+	private handleResult(result: AttemptResult): void {
+		const { attempt } = this;
+		if (attempt === undefined || this.isEnded) {
+			return;
+		}
+		switch (result.kind) {
+			case 'delivered':
+				attempt.target.health.noteAnswer(false);
+				this.closeAttempt('completed');
+				this.end('answered', { status: result.status });
+				return;
+			case 'failureAnswer':
+				attempt.target.health.noteAnswer(true);
+				this.closeAttempt('failed');
+				this.fallback = { head: result.head, body: result.body };
+				this.follow(true, 'failureAnswer', `HTTP ${result.head.status}`);
+				return;
+			case 'failed':
+				this.noteFailed(attempt, result.failure);
+				if (!result.mayHaveRun && attempt.isSent) {
+					this.runs -= 1;
+				}
+				this.follow(result.mayHaveRun, result.failure, result.detail);
+				return;
+		}
+	}
+
+	private noteFailed(attempt: CurrentAttempt, failure: AttemptFailure): void {
+		const { health } = attempt.target;
+		switch (failure) {
+			case 'unreachable':
+			case 'silent':
+				health.noteBroken(performance.now(), true);
+				this.closeAttempt('failed');
+				return;
+			case 'broken':
+				health.noteBroken(performance.now(), false);
+				this.closeAttempt('broken');
+				this.parts.onBroken(attempt.target, attempt.run);
+				return;
+			case 'malformed':
+				health.noteAnswer(true);
+				this.closeAttempt('failed');
+				return;
+			case 'otherTarget':
+				health.noteBroken(performance.now(), true);
+				this.closeAttempt('failed');
+				return;
+			case 'rejected':
+				this.closeAttempt('failed');
+				return;
+		}
+	}
+
+	/** Carries out what follows a failed attempt. */
+	private follow(mayHaveRun: boolean, failure: AttemptFailure | 'failureAnswer', detail: string): void {
+		const decision = this.decide(mayHaveRun);
+		const isAgain = decision === 'retry' || decision === 'resume';
+		const hasAllowance = !isAgain || this.sends === 0 || this.parts.takeRetry(this.service);
+		this.parts.metrics.countDecision(hasAllowance ? decision : 'retryDenied');
+		this.parts.log.write('decision', 'attemptFailed', {
+			id: this.input.request.attemptId,
+			target: this.path.at(-1),
+			failure,
+			detail,
+			mayHaveRun,
+			runs: this.runs,
+			sends: this.sends,
+			events: this.lastEventId,
+			decision: hasAllowance ? decision : 'retryDenied',
+		});
+		if (isAgain && hasAllowance) {
+			this.sendNext();
+			return;
+		}
+		this.giveUp(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
+	}
+
+	private decide(mayHaveRun: boolean): ReturnType<typeof decideAfterFailure> {
+		const { route } = this.input;
+		return decideAfterFailure(
+			{
+				isRepeatable: isRepeatable(route),
+				runs: this.runs,
+				sends: this.sends,
+				maxAttempts: route.maxAttempts,
+				hasStarted: this.answer.hasStarted,
+				isResumable: route.isResumable && this.lastEventId !== undefined,
+				hasTime: this.endsAtMs - performance.now() > MIN_ATTEMPT_MS,
+			},
+			mayHaveRun,
+		);
+	}
+
+	/** Nothing more is tried: gives the caller the final answer at once. */
+	private giveUp(reason: RefusalReason, detail: string): void {
+		if (this.answer.hasStarted) {
+			this.answer.cut();
+			this.end('cut', { detail });
+			return;
+		}
+		if (this.fallback !== undefined) {
+			const { head, body } = this.fallback;
+			this.answer.sendWhole(head, body);
+			this.end('targetFailure', { status: head.status });
+			return;
+		}
+		this.refuse(this.runs > 0 ? 'targetFailed' : reason, detail);
+	}
+
+	private refuse(reason: RefusalReason, detail: string): void {
+		const { status, retryAfterMs } = describeRefusal(reason, Math.random());
+		const headers = this.parts.codec.buildOwnHeaders(this.input.request.attemptId);
+		if (retryAfterMs !== undefined) {
+			headers['Retry-After'] = (retryAfterMs / 1000).toFixed(3);
+		}
+		this.answer.sendOwn(status, headers, detail);
+		this.end('refused', { status, reason, detail, retryAfterMs });
+	}
+
+	private handleTimeout(): void {
+		if (this.isEnded) {
+			return;
+		}
+		const wasSent = this.attempt?.isSent === true || this.runs > 0;
+		this.dropAttempt();
+		if (this.answer.hasStarted || this.fallback !== undefined) {
+			this.giveUp('timeout', 'the time limit passed');
+			return;
+		}
+		this.refuse(wasSent ? 'timeout' : 'timeoutBeforeRun', 'the time limit passed');
+	}
+
+	private dropAttempt(): void {
+		this.attempt?.answer.cancel();
+		this.closeAttempt('failed');
+	}
+
+	private closeAttempt(end: 'completed' | 'failed' | 'broken'): void {
+		const { attempt } = this;
+		if (attempt !== undefined) {
+			this.attempt = undefined;
+			attempt.target.noteEnded();
+			this.parts.suspects.end(attempt.run, end, performance.now());
+		}
+	}
+
+	/** Time that an engine may need to read the prompt before its first token. */
+	private estimateReadingTime(): number {
+		const tokens = this.input.request.prompt.reduce((sum, part) => sum + part.tokens, 0);
+		return tokens / SLOW_PREFILL_TOKENS_PER_MS;
+	}
+
+	private end(outcome: string, fields: Readonly<Record<string, string | number | undefined>>): void {
+		if (this.isEnded) {
+			return;
+		}
+		this.isEnded = true;
+		clearTimeout(this.timer);
+		const { request, route, customer, receivedAtMs, configurationVersion } = this.input;
+		const nowMs = performance.now();
+		const { log, metrics, readTargetsAge } = this.parts;
+		metrics.countEnd(route.name, outcome);
+		metrics.noteLatency(route.kind, 'whole', nowMs - receivedAtMs);
+		if (this.firstAtMs !== undefined) {
+			metrics.noteLatency(route.kind, 'first', this.firstAtMs - receivedAtMs);
+		}
+		log.write(outcome === 'answered' ? 'routine' : 'decision', 'requestEnded', {
+			id: request.attemptId,
+			outcome,
+			route: route.name,
+			service: this.service,
+			customer: customer?.name,
+			configurationVersion,
+			targetsAgeMs: Math.round(readTargetsAge()),
+			path: this.path.join(' '),
+			runs: this.runs,
+			firstMs: this.firstAtMs === undefined ? undefined : Math.round(this.firstAtMs - receivedAtMs),
+			totalMs: Math.round(nowMs - receivedAtMs),
+			lastEvent: this.lastEventId,
+			...fields,
+		});
+		this.onEnded();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/node/fleet.ts
@@ -0,0 +1,169 @@
+/** This instance's place in the fleet: finds the others, tells them what it believes and hears what they do. */
+import type { Disposable } from '@papayawell/core';
+import type { EventLog } from '../common/eventLog.js';
+import type { MetadataStore } from '../common/metadataStore.js';
+import type { FleetInstance, PeerState } from '../common/peerState.js';
+import { PeerTable } from '../common/peerTable.js';
+import { PeerLink } from './peerLink.js';
+
+/** Time between two rounds of datagrams. */
+const ROUND_MS = 300;
+/** How often the own entry in the store is renewed; its lease lasts 10 s. */
+const REGISTER_MS = 4000;
+/** How often the entries of the others are read, and while none is known. */
+const DISCOVER_MS = 10_000;
+const EAGER_DISCOVER_MS = 1000;
+/** Control addresses that one datagram names. */
+const MAX_NAMED = 40;
+/** How long an address that never answers is still written to. */
+const CANDIDATE_MS = 30_000;
+/** Errors of the same cause are logged once in this time. */
+const ERROR_LOG_MS = 1000;
+
+export interface FleetParts {
+	readonly self: FleetInstance;
+	/** Control addresses to begin with. */
+	readonly seeds: readonly string[];
+	readonly store: MetadataStore;
+	readonly log: EventLog;
+	/** What this instance says now, but for the addresses that it knows. */
+	readonly describeSelf: () => Omit<PeerState, 'known' | 'instance'>;
+	readonly onPeer: (state: PeerState, previous: PeerState | undefined) => void;
+	readonly documents: Readonly<Record<string, () => string | undefined>>;
+}
+
+export class Fleet implements Disposable {
+	public readonly peers: PeerTable;
+	private readonly link: PeerLink;
+	private readonly stopper = new AbortController();
+	/** Addresses from seeds, the store and peers, each with the time until which it is tried. */
+	private readonly candidates = new Map<string, number>();
+	private nextRoundMs = 0;
+	private nextRegisterMs = 0;
+	private nextDiscoverMs = 0;
+	private lastErrorMs = -Infinity;
+
+	constructor(private readonly parts: FleetParts) {
+		const { self, seeds } = parts;
+		this.peers = new PeerTable(self.name);
+		for (const seed of seeds) {
+			this.candidates.set(seed, Infinity);
+		}
+		this.link = new PeerLink({
+			address: self.controlAddress,
+			onState: (state) => {
+				this.handleState(state);
+			},
+			documents: parts.documents,
+			onError: (detail) => {
+				this.logError('peerLinkError', detail);
+			},
+		});
+	}
+
+	public listen(): Promise<void> {
+		return this.link.listen();
+	}
+
+	/** Called often: keeps up the rounds, the own entry and the search for others. */
+	public tick(nowMs: number): void {
+		for (const state of this.peers.expire(nowMs)) {
+			this.parts.log.write('state', 'peerLost', { peer: state.instance.name });
+		}
+		if (nowMs >= this.nextRoundMs) {
+			this.announce(nowMs);
+		}
+		if (nowMs >= this.nextRegisterMs) {
+			this.nextRegisterMs = nowMs + REGISTER_MS;
+			void this.register();
+		}
+		if (nowMs >= this.nextDiscoverMs) {
+			this.nextDiscoverMs = nowMs + (this.peers.listAll().length === 0 ? EAGER_DISCOVER_MS : DISCOVER_MS);
+			void this.discover();
+		}
+	}
+
+	/** Tells the others at once. */
+	public announce(nowMs: number): void {
+		this.nextRoundMs = nowMs + ROUND_MS;
+		const known = this.peers.listAll().map(({ instance }) => instance.controlAddress);
+		const state: PeerState = {
+			...this.parts.describeSelf(),
+			instance: this.parts.self,
+			known: known.slice(0, MAX_NAMED),
+		};
+		const addresses = new Set(known);
+		for (const [address, untilMs] of this.candidates) {
+			if (nowMs > untilMs) {
+				this.candidates.delete(address);
+			} else {
+				addresses.add(address);
+			}
+		}
+		addresses.delete(this.parts.self.controlAddress);
+		this.link.send(state, [...addresses]);
+	}
+
+	public fetch(controlAddress: string, path: string): Promise<string | undefined> {
+		return this.link.fetch(controlAddress, path);
+	}
+
+	public dispose(): void {
+		this.stopper.abort();
+		this.link.dispose();
+	}
+
+	private handleState(state: PeerState): void {
+		const { name, controlAddress } = state.instance;
+		if (name === this.parts.self.name) {
+			return;
+		}
+		const nowMs = performance.now();
+		const previous = this.peers.note(state, nowMs);
+		this.candidates.set(controlAddress, nowMs + CANDIDATE_MS);
+		for (const address of state.known) {
+			if (!this.candidates.has(address)) {
+				this.candidates.set(address, nowMs + CANDIDATE_MS);
+			}
+		}
+		if (
+			previous?.instance.incarnation !== state.instance.incarnation ||
+			previous.isServing !== state.isServing
+		) {
+			this.parts.log.write('state', 'peerChanged', {
+				peer: name,
+				incarnation: state.instance.incarnation,
+				isServing: state.isServing,
+				configurationVersion: state.configurationVersion,
+			});
+		}
+		this.parts.onPeer(state, previous);
+	}
+
+	private async register(): Promise<void> {
+		const { store, self } = this.parts;
+		try {
+			await store.keepInstance(self.name, self.controlAddress, this.stopper.signal);
+		} catch (error) {
+			this.logError('registrationFailed', String(error));
+		}
+	}
+
+	private async discover(): Promise<void> {
+		try {
+			for (const address of await this.parts.store.listInstances(this.stopper.signal)) {
+				this.candidates.set(address, performance.now() + CANDIDATE_MS);
+			}
+		} catch (error) {
+			this.logError('discoveryFailed', String(error));
+		}
+	}
+
+	private logError(event: string, detail: string): void {
+		const nowMs = performance.now();
+		if (nowMs - this.lastErrorMs > ERROR_LOG_MS && !this.stopper.signal.aborted) {
+			this.lastErrorMs = nowMs;
+			this.parts.log.write('state', event, { detail });
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/node/gateway.ts
@@ -0,0 +1,368 @@
+/** The one module that wires the parts of a gateway process. */
+import type { Disposable } from '@papayawell/core';
+import { DisposableStore, hashTextTo32, SuspectBook, toDisposable } from '@papayawell/core';
+import type { SuspectRun } from '@papayawell/core';
+import { ConfigurationInForce } from '../common/configurationInForce.js';
+import type { EventLog } from '../common/eventLog.js';
+import type { HeaderCodec } from '../common/gatewayRequest.js';
+import type { MetadataStore } from '../common/metadataStore.js';
+import type { CrashNews, FleetInstance, PeerState } from '../common/peerState.js';
+import { RetryWindow } from '../common/retryWindow.js';
+import type { RetryWindowSettings } from '../common/retryWindow.js';
+import type { TargetRecord } from '../common/targetRecord.js';
+import type { TargetState } from '../common/targetState.js';
+import { TargetTable } from '../common/targetTable.js';
+import type { ListedTargets, ViewChange } from '../common/targetView.js';
+import { TargetView } from '../common/targetView.js';
+import { CallersPort } from './callersPort.js';
+import { ConfigurationFollower } from './configurationFollower.js';
+import { Fleet } from './fleet.js';
+import { GatewayMetrics } from './gatewayMetrics.js';
+import { Shutdown } from './shutdown.js';
+import { TargetCaller } from './targetCaller.js';
+import { TargetFollower } from './targetFollower.js';
+
+/** Time between two looks at what is due. */
+const TICK_MS = 100;
+/** How long a crash is held against the content that was running. */
+const SUSPICION_MS = 30_000;
+/** How long content that crashed two targets is refused. */
+const QUARANTINE_MS = 60_000;
+/** Crashes that are told to the other instances. */
+const MAX_CRASH_NEWS = 20;
+/** Part of a target's connections that the fleet uses; the older system has connections there too. */
+const CONNECTION_SHARE = 0.8;
+const MIN_CONNECTIONS = 4;
+
+export interface GatewaySettings {
+	readonly self: FleetInstance;
+	/** Control addresses of other instances to begin with. */
+	readonly seeds: readonly string[];
+	readonly retries: RetryWindowSettings;
+	/** Time between the request to stop and the kill, in ms. */
+	readonly graceMs: number;
+	/** Longest time for which callers keep an answer that names this instance, in ms. */
+	readonly entryLifeMs: number;
+}
+
+export interface GatewayDependencies {
+	readonly settings: GatewaySettings;
+	readonly store: MetadataStore;
+	readonly codec: HeaderCodec;
+	readonly log: EventLog;
+	readonly readDroppedLogLines: () => number;
+}
+
+/** A running gateway process. */
+export interface Gateway extends Disposable {
+	readonly metrics: GatewayMetrics;
+	/** Resolves when the process may exit. */
+	readonly ended: Promise<void>;
+	/** Whether callers may be sent here. */
+	isServing(): boolean;
+	/** Addresses of the instances that callers may be sent to. */
+	listEntries(): readonly string[];
+	/** Starts the graceful shutdown. */
+	drain(): void;
+}
+
+/** Starts a gateway. Rejects when an address can't be bound. */
+export async function createGateway(dependencies: GatewayDependencies): Promise<Gateway> {
+	const wiring = new GatewayWiring(dependencies);
+	await wiring.start();
+	return wiring;
+}
+
+class GatewayWiring implements Gateway {
+	public readonly metrics: GatewayMetrics;
+	public readonly ended: Promise<void>;
+	private readonly parts = new DisposableStore();
+	private readonly inForce = new ConfigurationInForce();
+	private readonly view = new TargetView();
+	private readonly targets: TargetTable;
+	private readonly retryWindows = new Map<string, RetryWindow>();
+	private readonly suspects: SuspectBook;
+	private readonly caller: TargetCaller;
+	private readonly port: CallersPort;
+	private readonly fleet: Fleet;
+	private readonly shutdown: Shutdown;
+	private readonly configurationFollower: ConfigurationFollower;
+	private readonly targetFollower: TargetFollower;
+	private crashNews: {
+		readonly fingerprint: string;
+		readonly target: string;
+		readonly expiresAtMs: number;
+	}[] = [];
+	private digest = 0;
+	private wasServing = false;
+
+	constructor(private readonly dependencies: GatewayDependencies) {
+		const { settings, store, codec, log } = dependencies;
+		this.targets = new TargetTable(settings.self.zone);
+		this.suspects = new SuspectBook({ suspicionMs: SUSPICION_MS, quarantineMs: QUARANTINE_MS }, (fact) => {
+			if (fact.kind === 'suspicion') {
+				this.noteCrash(fact.fingerprint, fact.target, fact.expiresAtMs);
+			}
+		});
+		this.metrics = new GatewayMetrics(() => ({
+			configurationVersion: this.inForce.version,
+			targetsAgeMs: this.view.computeAge(performance.now()),
+			peers: this.fleet.peers.listAll().length,
+			droppedLogLines: dependencies.readDroppedLogLines(),
+		}));
+		this.caller = new TargetCaller({
+			codec,
+			getConnectionLimit: (service) => this.computeConnectionLimit(service),
+			onConnectionOpened: () => {
+				this.metrics.countDecision('connectionOpened');
+			},
+			onCrossedAnswer: (target, attemptId) => {
+				this.metrics.countDecision('crossedAnswer');
+				log.write('decision', 'crossedAnswer', { id: attemptId, target });
+			},
+		});
+		this.port = new CallersPort({
+			address: settings.self.callersAddress,
+			readInForce: () => this.inForce.current,
+			exchange: {
+				codec,
+				targets: this.targets,
+				caller: this.caller,
+				suspects: this.suspects,
+				log,
+				metrics: this.metrics,
+				noteRequest: (service) => {
+					this.getRetryWindow(service).noteRequest(performance.now());
+				},
+				takeRetry: (service) => this.takeRetry(service),
+				onBroken: (target, run) => {
+					void this.checkBroken(target, run);
+				},
+				readTargetsAge: () => this.view.computeAge(performance.now()),
+			},
+		});
+		this.fleet = new Fleet({
+			self: settings.self,
+			seeds: settings.seeds,
+			store,
+			log,
+			describeSelf: () => this.describeSelf(),
+			onPeer: (state) => {
+				this.handlePeer(state);
+			},
+			documents: {
+				'/configuration': () => this.inForce.current?.encoded,
+				'/targets': () => this.encodeTargets(),
+			},
+		});
+		this.configurationFollower = new ConfigurationFollower({
+			store,
+			inForce: this.inForce,
+			log,
+			fetchFromPeer: (address) => this.fleet.fetch(address, '/configuration'),
+		});
+		this.targetFollower = new TargetFollower({
+			store,
+			view: this.view,
+			log,
+			readOwnRank: () => this.fleet.peers.findOwnRank(performance.now()),
+			onDidChange: (change) => {
+				this.handleTargets(change);
+			},
+			fetchFromPeer: async (address) => decodeTargets(await this.fleet.fetch(address, '/targets')),
+		});
+		this.shutdown = new Shutdown({
+			port: this.port,
+			log,
+			graceMs: settings.graceMs,
+			entryLifeMs: settings.entryLifeMs,
+			announce: () => {
+				this.fleet.announce(performance.now());
+			},
+		});
+		this.ended = this.shutdown.ended;
+		for (const part of [this.inForce, this.caller, this.port, this.fleet]) {
+			this.parts.add(part);
+		}
+		this.parts.add(this.configurationFollower);
+		this.parts.add(this.targetFollower);
+	}
+
+	public async start(): Promise<void> {
+		this.inForce.onDidAdopt(({ inForce, previousVersion, source }) => {
+			const { configuration } = inForce;
+			this.port.setLimits(configuration.limits);
+			this.dependencies.log.write('state', 'configurationAdopted', {
+				version: configuration.version,
+				previousVersion,
+				source,
+				routes: configuration.routes.length,
+				keys: configuration.customersByKey?.size ?? 0,
+			});
+			this.fleet.announce(performance.now());
+		});
+		this.configurationFollower.start();
+		await Promise.all([this.port.listen(), this.fleet.listen()]);
+		const timer = setInterval(() => {
+			this.tick();
+		}, TICK_MS);
+		this.parts.add(
+			toDisposable(() => {
+				clearInterval(timer);
+			}),
+		);
+		this.tick();
+	}
+
+	public isServing(): boolean {
+		return !this.shutdown.isStarted && this.inForce.version > 0 && this.view.revision > 0;
+	}
+
+	public listEntries(): readonly string[] {
+		const others = this.fleet.peers
+			.listServing(performance.now())
+			.map(({ instance }) => instance.callersAddress);
+		const own = this.dependencies.settings.self.callersAddress;
+		return this.isServing() || others.length === 0 ? [own, ...others] : others;
+	}
+
+	public drain(): void {
+		this.shutdown.start();
+	}
+
+	public dispose(): void {
+		this.parts.dispose();
+	}
+
+	private tick(): void {
+		const nowMs = performance.now();
+		this.fleet.tick(nowMs);
+		this.targetFollower.tick(nowMs);
+		this.port.checkSilence(nowMs);
+		this.shutdown.tick(nowMs);
+		this.targets.setPeerRequests(this.fleet.peers.listAll().map(({ requests }) => requests));
+		if (this.isServing() !== this.wasServing) {
+			this.wasServing = this.isServing();
+			this.dependencies.log.write('state', this.wasServing ? 'serving' : 'notServing', {
+				configurationVersion: this.inForce.version,
+				targetsRevision: this.view.revision,
+			});
+			this.fleet.announce(nowMs);
+		}
+	}
+
+	private describeSelf(): Omit<PeerState, 'known' | 'instance'> {
+		const nowMs = performance.now();
+		const requests: Record<string, number> = {};
+		for (const { record, ownRequests } of this.targets.all) {
+			if (ownRequests > 0) {
+				requests[record.id] = ownRequests;
+			}
+		}
+		this.crashNews = this.crashNews.filter(({ expiresAtMs }) => expiresAtMs > nowMs).slice(-MAX_CRASH_NEWS);
+		return {
+			isServing: this.isServing(),
+			configurationVersion: this.inForce.version,
+			targetsRevision: this.view.revision,
+			targetsAgeMs: this.view.revision === 0 ? 0 : Math.round(this.view.computeAge(nowMs)),
+			targetsDigest: this.digest,
+			requests,
+			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
+				fingerprint,
+				target,
+				expiresInMs: Math.round(expiresAtMs - nowMs),
+			})),
+		};
+	}
+
+	private handlePeer(state: PeerState): void {
+		const nowMs = performance.now();
+		const { instance, configurationVersion, targetsRevision, targetsAgeMs, targetsDigest } = state;
+		this.configurationFollower.notePeerVersion(instance.controlAddress, configurationVersion);
+		const list = { revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
+		this.targetFollower.notePeerList(instance.controlAddress, list, this.digest, nowMs);
+		for (const news of state.crashes) {
+			this.adoptCrash(news, nowMs);
+		}
+	}
+
+	private adoptCrash({ fingerprint, target, expiresInMs }: CrashNews, nowMs: number): void {
+		this.suspects.adopt(
+			{ kind: 'suspicion', fingerprint, target, expiresAtMs: nowMs + expiresInMs, version: nowMs },
+			nowMs,
+		);
+	}
+
+	private handleTargets(change: ViewChange): void {
+		this.targets.apply(change);
+		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
+			this.caller.forget(id);
+		}
+		this.digest = computeDigest(this.view.records);
+		this.fleet.announce(performance.now());
+	}
+
+	private encodeTargets(): string | undefined {
+		if (this.view.revision === 0) {
+			return undefined;
+		}
+		const list: ListedTargets = { revision: this.view.revision, targets: this.view.records };
+		return JSON.stringify({ list, ageMs: Math.round(this.view.computeAge(performance.now())) });
+	}
+
+	/** Finds out whether a target whose connection broke has died, which makes its requests suspects. */
+	private async checkBroken(target: TargetState, run: SuspectRun): Promise<void> {
+		const isAlive = await this.caller.probe(target);
+		const nowMs = performance.now();
+		if (!isAlive) {
+			target.health.noteBroken(nowMs, true);
+			this.suspects.noteTargetDied(run.target, nowMs);
+			this.dependencies.log.write('state', 'targetDied', {
+				target: target.record.id,
+				service: target.record.service,
+			});
+		}
+		this.suspects.settle(run);
+	}
+
+	private noteCrash(fingerprint: string, target: string, expiresAtMs: number): void {
+		this.crashNews.push({ fingerprint, target, expiresAtMs });
+		this.fleet.announce(performance.now());
+	}
+
+	private takeRetry(service: string): boolean {
+		const nowMs = performance.now();
+		return this.getRetryWindow(service).take(nowMs, this.fleet.peers.countInstances(nowMs));
+	}
+
+	private getRetryWindow(service: string): RetryWindow {
+		let window = this.retryWindows.get(service);
+		if (window === undefined) {
+			window = new RetryWindow(this.dependencies.settings.retries);
+			this.retryWindows.set(service, window);
+		}
+		return window;
+	}
+
+	private computeConnectionLimit(service: string): number {
+		const definition = this.inForce.current?.configuration.services.get(service);
+		if (definition === undefined) {
+			return MIN_CONNECTIONS;
+		}
+		const instances = this.fleet.peers.countInstances(performance.now());
+		return Math.max(MIN_CONNECTIONS, Math.floor((definition.maxConnections * CONNECTION_SHARE) / instances));
+	}
+}
+
+function computeDigest(records: readonly TargetRecord[]): number {
+	const lines = records.map((record) => JSON.stringify(record));
+	return hashTextTo32(lines.sort().join('\n'));
+}
+
+function decodeTargets(
+	text: string | undefined,
+): { readonly list: ListedTargets; readonly ageMs: number } | undefined {
+	return text === undefined
+		? undefined
+		: (JSON.parse(text) as { readonly list: ListedTargets; readonly ageMs: number });
+}
--- /dev/null
+++ b/packages/gateway/src/node/peerLink.ts
@@ -0,0 +1,152 @@
+/**
+ * Talks to the other instances of the fleet: a small datagram several times a second says what each believes, and
+ * what differs is fetched over HTTP. Datagrams may be lost; the next one says the same.
+ */
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+import { createServer, get } from 'node:http';
+import type { Server } from 'node:http';
+import type { Disposable } from '@papayawell/core';
+import type { PeerState } from '../common/peerState.js';
+
+/** Instances that one datagram round goes to; in larger fleets each round picks others. */
+const MAX_FAN_OUT = 24;
+/** A fetch from a peer in the same region. */
+const FETCH_TIMEOUT_MS = 800;
+/** Datagrams above this are not sent: they would be split on the way. */
+const MAX_DATAGRAM_BYTES = 60_000;
+
+export interface PeerLinkOptions {
+	/** IP address and port, for datagrams and HTTP. */
+	readonly address: string;
+	readonly onState: (state: PeerState) => void;
+	/** Documents that peers may fetch, by path. */
+	readonly documents: Readonly<Record<string, () => string | undefined>>;
+	readonly onError: (detail: string) => void;
+}
+
+export class PeerLink implements Disposable {
+	private readonly socket: Socket;
+	private readonly server: Server;
+
+	constructor(private readonly options: PeerLinkOptions) {
+		this.socket = createSocket('udp4');
+		this.socket.on('message', (bytes) => {
+			this.handleMessage(bytes);
+		});
+		this.socket.on('error', (error) => {
+			options.onError(error.message);
+		});
+		this.server = createServer((request, response) => {
+			const document = options.documents[request.url ?? '']?.();
+			response.writeHead(document === undefined ? 404 : 200, { 'Content-Type': 'application/json' });
+			response.end(document);
+		});
+		this.server.on('error', (error) => {
+			options.onError(error.message);
+		});
+	}
+
+	public async listen(): Promise<void> {
+		const { host, port } = splitAddress(this.options.address);
+		await new Promise<void>((resolve) => {
+			this.socket.bind(port, host, resolve);
+		});
+		await new Promise<void>((resolve) => {
+			this.server.listen(port, host, resolve);
+		});
+	}
+
+	/** Sends a state to the given control addresses, or to some of them in a large fleet. */
+	public send(state: PeerState, addresses: readonly string[]): void {
+		const bytes = Buffer.from(JSON.stringify(state));
+		if (bytes.length > MAX_DATAGRAM_BYTES) {
+			this.options.onError(`a state of ${bytes.length} bytes is too large to send`);
+			return;
+		}
+		for (const address of sampleAddresses(addresses, MAX_FAN_OUT)) {
+			const { host, port } = splitAddress(address);
+			this.socket.send(bytes, port, host, (error) => {
+				if (error !== null) {
+					this.options.onError(error.message);
+				}
+			});
+		}
+	}
+
+	/** Fetches a document of a peer; undefined if it has none or does not answer. */
+	public fetch(address: string, path: string): Promise<string | undefined> {
+		const { host, port } = splitAddress(address);
+		return new Promise((resolve) => {
+			const request = get({ host, port, path, agent: false, timeout: FETCH_TIMEOUT_MS }, (response) => {
+				const parts: Buffer[] = [];
+				response.on('data', (part: Buffer) => parts.push(part));
+				response.on('end', () => {
+					resolve(response.statusCode === 200 ? Buffer.concat(parts).toString('utf8') : undefined);
+				});
+				response.on('error', (error) => {
+					this.options.onError(error.message);
+					resolve(undefined);
+				});
+			});
+			request.on('timeout', () => request.destroy(new Error(`no answer from ${address} in time`)));
+			request.on('error', (error) => {
+				this.options.onError(error.message);
+				resolve(undefined);
+			});
+		});
+	}
+
+	public dispose(): void {
+		this.socket.close();
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private handleMessage(bytes: Buffer): void {
+		let state: unknown;
+		try {
+			state = JSON.parse(bytes.toString('utf8'));
+		} catch (error) {
+			this.options.onError(`unreadable datagram: ${String(error)}`);
+			return;
+		}
+		if (isPeerState(state)) {
+			this.options.onState(state);
+		} else {
+			this.options.onError('a datagram is not the state of a peer');
+		}
+	}
+}
+
+function isPeerState(value: unknown): value is PeerState {
+	const state = value as Partial<PeerState> | null;
+	return (
+		typeof state === 'object' &&
+		state !== null &&
+		typeof state.instance?.name === 'string' &&
+		typeof state.instance.controlAddress === 'string' &&
+		typeof state.configurationVersion === 'number' &&
+		typeof state.targetsRevision === 'number' &&
+		typeof state.requests === 'object' &&
+		Array.isArray(state.crashes) &&
+		Array.isArray(state.known)
+	);
+}
+
+export function splitAddress(address: string): { readonly host: string; readonly port: number } {
+	const colon = address.lastIndexOf(':');
+	return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+function sampleAddresses(addresses: readonly string[], count: number): readonly string[] {
+	if (addresses.length <= count) {
+		return addresses;
+	}
+	const start = Math.floor(Math.random() * addresses.length);
+	const step = addresses.length / count;
+	return Array.from(
+		{ length: count },
+		(_, index) => addresses[Math.floor(start + index * step) % addresses.length],
+	).filter((address) => address !== undefined);
+}
--- /dev/null
+++ b/packages/gateway/src/node/shutdown.ts
@@ -0,0 +1,91 @@
+/**
+ * The graceful end of a process: callers are sent elsewhere at once, those that still come are served while their
+ * answers of the directory last, and what is in flight is completed.
+ */
+import type { EventLog } from '../common/eventLog.js';
+import type { CallersPort } from './callersPort.js';
+
+/** Time before the kill at which the process ends in any case. */
+const LAST_MOMENT_MS = 250;
+/** Time that the last bytes of an answer need to leave the process. */
+const FLUSH_MS = 100;
+
+type ShutdownState =
+	| { readonly kind: 'serving' }
+	/** Directories no longer name this instance; callers with older answers are served. */
+	| { readonly kind: 'announced'; readonly startedAtMs: number }
+	/** Takes nothing new and completes what is in flight. */
+	| { readonly kind: 'finishing'; readonly startedAtMs: number; idleSinceMs: number | undefined }
+	| { readonly kind: 'ended' };
+
+export interface ShutdownParts {
+	readonly port: CallersPort;
+	readonly log: EventLog;
+	readonly graceMs: number;
+	readonly entryLifeMs: number;
+	/** Tells the other instances. */
+	readonly announce: () => void;
+}
+
+export class Shutdown {
+	public readonly ended: Promise<void>;
+	private state: ShutdownState = { kind: 'serving' };
+	private resolveEnded: () => void = () => undefined;
+
+	constructor(private readonly parts: ShutdownParts) {
+		this.ended = new Promise((resolve) => {
+			this.resolveEnded = resolve;
+		});
+	}
+
+	public get isStarted(): boolean {
+		return this.state.kind !== 'serving';
+	}
+
+	public start(): void {
+		if (this.state.kind !== 'serving') {
+			return;
+		}
+		const { port, log, announce } = this.parts;
+		this.state = { kind: 'announced', startedAtMs: performance.now() };
+		port.startDraining();
+		announce();
+		log.write('state', 'drainStarted', { requestsInFlight: port.requestsInFlight });
+	}
+
+	/** Called often. */
+	public tick(nowMs: number): void {
+		const { state, parts } = this;
+		switch (state.kind) {
+			case 'serving':
+			case 'ended':
+				return;
+			case 'announced':
+				if (nowMs - state.startedAtMs >= parts.entryLifeMs) {
+					parts.port.startRefusing();
+					parts.port.closeListener();
+					this.state = { kind: 'finishing', startedAtMs: state.startedAtMs, idleSinceMs: undefined };
+				}
+				return;
+			case 'finishing':
+				this.tickFinishing(state, nowMs);
+				return;
+		}
+	}
+
+	private tickFinishing(state: Extract<ShutdownState, { kind: 'finishing' }>, nowMs: number): void {
+		const { port, graceMs, log } = this.parts;
+		const inFlight = port.requestsInFlight;
+		state.idleSinceMs = inFlight === 0 ? (state.idleSinceMs ?? nowMs) : undefined;
+		const isIdle = state.idleSinceMs !== undefined && nowMs - state.idleSinceMs >= FLUSH_MS;
+		if (!isIdle && nowMs - state.startedAtMs < graceMs - LAST_MOMENT_MS) {
+			return;
+		}
+		this.state = { kind: 'ended' };
+		log.write('state', 'drainEnded', {
+			requestsInFlight: inFlight,
+			elapsedMs: Math.round(nowMs - state.startedAtMs),
+		});
+		this.resolveEnded();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/node/targetCaller.ts
@@ -0,0 +1,204 @@
+/** Sends requests to targets and keeps what their connections show of them. */
+import type { Disposable } from '@papayawell/core';
+import type { AnswerFacts, DispatchDetails, GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
+import type { ResponseHead } from '../common/responseParser.js';
+import type { TargetState } from '../common/targetState.js';
+import { ConnectionPool } from './connectionPool.js';
+import type { ConnectionFailure, ConnectionListener, TargetConnection } from './targetConnection.js';
+
+/** A reset on a connection that was idle for long cannot be told from a run; new work that runs once avoids it. */
+const ONCE_IDLE_LIMIT_MS = 1000;
+const CRLF = '\r\n';
+
+export interface CallListener {
+	/** The first byte is about to go out. */
+	onSending(): void;
+	onHead(head: ResponseHead, facts: AnswerFacts): void;
+	onBody(chunk: Buffer): void;
+	onEnd(): void;
+	/** @param mayHaveRun whether a byte of the request went out */
+	onFailure(failure: ConnectionFailure, mayHaveRun: boolean, message: string): void;
+}
+
+export interface Call {
+	cancel(): void;
+	pause(): void;
+	resume(): void;
+}
+
+export interface TargetCallerOptions {
+	readonly codec: HeaderCodec;
+	/** Returns how many connections this instance may have to one target of a service. */
+	readonly getConnectionLimit: (service: string) => number;
+	readonly onConnectionOpened: () => void;
+	/** An answer to another request was dropped. */
+	readonly onCrossedAnswer: (target: string, attemptId: string) => void;
+}
+
+export class TargetCaller implements Disposable {
+	private readonly pools = new Map<string, ConnectionPool>();
+
+	constructor(private readonly options: TargetCallerOptions) {}
+
+	/** Sends a request; undefined if no connection may be opened now. */
+	public send(
+		target: TargetState,
+		request: GatewayRequest,
+		body: Buffer,
+		details: DispatchDetails,
+		isRepeatable: boolean,
+		listener: CallListener,
+	): Call | undefined {
+		const { codec, getConnectionLimit } = this.options;
+		const limit = getConnectionLimit(target.record.service);
+		const idleLimitMs = isRepeatable ? undefined : ONCE_IDLE_LIMIT_MS;
+		const connection = this.getPool(target).acquire(performance.now(), limit, idleLimitMs);
+		if (connection === undefined) {
+			return undefined;
+		}
+		const head = encodeHead(request, codec.buildDispatchHeaders(request, details), body.length);
+		const call = new TargetCall(connection, target, request, listener, this.options);
+		call.send(body.length === 0 ? [head] : [head, body]);
+		return call;
+	}
+
+	/** Checks whether a target takes connections; the connection stays for the next request. */
+	public probe(target: TargetState): Promise<boolean> {
+		return new Promise((resolve) => {
+			const connection = this.getPool(target).open();
+			connection.send(
+				'GET',
+				[],
+				() => {
+					resolve(true);
+					return false;
+				},
+				{
+					onHead: () => undefined,
+					onBody: () => undefined,
+					onEnd: () => true,
+					onFailure: () => {
+						resolve(false);
+					},
+				},
+			);
+		});
+	}
+
+	/** Closes what is idle to a target that is gone. */
+	public forget(id: string): void {
+		for (const [key, pool] of this.pools) {
+			if (key.startsWith(`${id}@`)) {
+				this.pools.delete(key);
+				pool.dispose();
+			}
+		}
+	}
+
+	public dispose(): void {
+		for (const pool of this.pools.values()) {
+			pool.dispose();
+		}
+		this.pools.clear();
+	}
+
+	private getPool(target: TargetState): ConnectionPool {
+		const { id, address, startedAtMs } = target.record;
+		const key = `${id}@${address}@${startedAtMs}`;
+		let pool = this.pools.get(key);
+		if (pool === undefined) {
+			pool = new ConnectionPool(address, this.options.onConnectionOpened);
+			this.pools.set(key, pool);
+		}
+		return pool;
+	}
+}
+
+/** One request on one target. Answers to other requests are dropped by their id. */
+class TargetCall implements Call, ConnectionListener {
+	private sentAtMs = 0;
+	private isSent = false;
+	private isCancelled = false;
+	private isCrossed = false;
+
+	constructor(
+		private readonly connection: TargetConnection,
+		private readonly target: TargetState,
+		private readonly request: GatewayRequest,
+		private readonly listener: CallListener,
+		private readonly options: TargetCallerOptions,
+	) {}
+
+	public send(bytes: readonly Buffer[]): void {
+		this.connection.send(this.request.method, bytes, () => this.handleSending(), this);
+	}
+
+	public cancel(): void {
+		this.isCancelled = true;
+		this.connection.close();
+	}
+
+	public pause(): void {
+		this.connection.pause();
+	}
+
+	public resume(): void {
+		this.connection.resume();
+	}
+
+	public onHead(head: ResponseHead): void {
+		const nowMs = performance.now();
+		this.target.noteByte(nowMs);
+		const facts = this.options.codec.readAnswer(head.status, head.headers);
+		this.isCrossed = facts.attemptId !== undefined && facts.attemptId !== this.request.attemptId;
+		if (this.isCrossed) {
+			this.options.onCrossedAnswer(this.target.record.id, this.request.attemptId);
+			return;
+		}
+		this.target.noteHead(nowMs - this.sentAtMs);
+		this.listener.onHead(head, facts);
+	}
+
+	public onBody(chunk: Buffer): void {
+		this.target.noteByte(performance.now());
+		if (!this.isCrossed) {
+			this.listener.onBody(chunk);
+		}
+	}
+
+	public onEnd(): boolean {
+		if (this.isCrossed) {
+			this.isCrossed = false;
+			return false;
+		}
+		this.listener.onEnd();
+		return true;
+	}
+
+	public onFailure(failure: ConnectionFailure, message: string): void {
+		if (!this.isCancelled) {
+			this.listener.onFailure(failure, this.isSent, message);
+		}
+	}
+
+	private handleSending(): boolean {
+		if (this.isCancelled) {
+			return false;
+		}
+		this.isSent = true;
+		this.sentAtMs = performance.now();
+		this.listener.onSending();
+		return true;
+	}
+}
+
+function encodeHead(request: GatewayRequest, headers: readonly string[], bodyBytes: number): Buffer {
+	const lines = [`${request.method} ${request.url} HTTP/1.1`];
+	for (let index = 0; index + 1 < headers.length; index += 2) {
+		lines.push(`${headers[index] ?? ''}: ${headers[index + 1] ?? ''}`);
+	}
+	if (bodyBytes > 0 || (request.method !== 'GET' && request.method !== 'HEAD')) {
+		lines.push(`Content-Length: ${bodyBytes}`);
+	}
+	return Buffer.from(lines.join(CRLF) + CRLF + CRLF, 'latin1');
+}
