Tell the end of an answer without a length from a reset

Cause: when the last bytes and the reset of a connection arrive together, the event loop reports an orderly end, so a torn answer without a length went to the caller as whole. Ruled out: our parser (its framing state was right), and waiting for the error event (none comes). Conclusion: one empty line written after the end tells them apart.

--- a/packages/gateway/src/common/responseParser.ts
+++ b/packages/gateway/src/common/responseParser.ts
@@ -75,14 +75,17 @@
 		return EMPTY;
 	}
 
-	/** The connection was closed in order. Returns whether that completed the answer. */
-	public finish(): boolean {
-		if (this.state.kind !== 'untilClose') {
-			return false;
+	/** Whether the end of the connection is the end of the answer. */
+	public get endsWithConnection(): boolean {
+		return this.state.kind === 'untilClose';
+	}
+
+	/** The connection was closed in order, which completes an answer without a length. */
+	public finish(): void {
+		if (this.state.kind === 'untilClose') {
+			this.state = { kind: 'done' };
+			this.handler.onComplete();
 		}
-		this.state = { kind: 'done' };
-		this.handler.onComplete();
-		return true;
 	}
 
 	/** Returns whether there may be more to do with the pending bytes. */
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -58,6 +58,8 @@
 		this.socket = connect({
 			host,
 			port,
+			// Half open, so that the end of an answer without a length can be told from a reset.
+			allowHalfOpen: true,
 			noDelay: true,
 			keepAlive: true,
 			keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
@@ -211,16 +213,38 @@
 
 	private handleEnd(): void {
 		const { parser, listener } = this;
-		if (parser !== undefined && listener !== undefined && parser.finish()) {
-			this.markClosed();
-			if (this.listener !== undefined) {
-				this.fail('broken', 'the connection ended with the answer to another request');
-			}
+		if (parser !== undefined && listener !== undefined && parser.endsWithConnection) {
+			this.confirmOrderlyEnd(parser);
 			return;
 		}
 		this.fail('broken', 'the connection ended before the answer was whole');
 	}
 
+	/**
+	 * A reset right after the last bytes is reported as an orderly end by the event loop. Writing tells them apart:
+	 * on a connection that was reset it fails. An empty line between requests means nothing to the target.
+	 */
+	private confirmOrderlyEnd(parser: ResponseParser): void {
+		this.socket.write('\r\n', (error) => {
+			if (this.listener === undefined) {
+				return;
+			}
+			if (error !== undefined && error !== null) {
+				this.fail('broken', 'the connection was reset before the answer was whole');
+				return;
+			}
+			parser.finish();
+			this.markClosed();
+			if (this.isAwaitingAnswer()) {
+				this.fail('broken', 'the connection ended with the answer to another request');
+			}
+		});
+	}
+
+	private isAwaitingAnswer(): boolean {
+		return this.listener !== undefined;
+	}
+
 	private fail(failure: ConnectionFailure, message: string): void {
 		const { listener } = this;
 		this.listener = undefined;
--- /dev/null
+++ b/packages/gateway/test/common/responseParser.test.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { ResponseHead } from '../../src/common/responseParser.js';
+import { ResponseFormatError, ResponseParser } from '../../src/common/responseParser.js';
+
+interface Parsed {
+	readonly heads: ResponseHead[];
+	body: string;
+	complete: number;
+	surplus: string;
+}
+
+function parse(pieces: readonly string[], method = 'GET', finish = false): Parsed {
+	const parsed: Parsed = { heads: [], body: '', complete: 0, surplus: '' };
+	const parser = new ResponseParser(method, {
+		onHead: (head) => parsed.heads.push(head),
+		onBody: (chunk) => {
+			parsed.body += chunk.toString('latin1');
+		},
+		onComplete: () => {
+			parsed.complete += 1;
+			return true;
+		},
+	});
+	for (const piece of pieces) {
+		parsed.surplus += parser.push(Buffer.from(piece, 'latin1')).toString('latin1');
+	}
+	if (finish) {
+		parser.finish();
+	}
+	return parsed;
+}
+
+function splitAt(text: string, cuts: readonly number[]): string[] {
+	const positions = [0, ...cuts.map((cut) => cut % text.length).sort((a, b) => a - b), text.length];
+	return positions.slice(1).map((end, index) => text.slice(positions[index], end));
+}
+
+describe('ResponseParser', () => {
+	const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nT: 1\r\n\r\n';
+
+	it('reads the same answer however its bytes are split', () => {
+		fc.assert(
+			fc.property(fc.array(fc.nat(1000), { maxLength: 12 }), (cuts) => {
+				const parsed = parse(splitAt(`${chunked}rest`, cuts));
+				expect(parsed.body).to.equal('hello world');
+				expect(parsed.complete).to.equal(1);
+				expect(parsed.surplus).to.equal('rest');
+			}),
+		);
+	});
+
+	it('skips interim answers', () => {
+		const parsed = parse(['HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n']);
+		expect(parsed.heads.map(({ status }) => status)).to.deep.equal([204]);
+		expect(parsed.complete).to.equal(1);
+	});
+
+	it('reads no body of an answer to HEAD', () => {
+		const parsed = parse(['HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n'], 'HEAD');
+		expect(parsed.complete).to.equal(1);
+	});
+
+	it('ends an answer without a length with its connection only', () => {
+		expect(parse(['HTTP/1.1 200 OK\r\n\r\nbody']).complete).to.equal(0);
+		expect(parse(['HTTP/1.1 200 OK\r\n\r\nbody'], 'GET', true).complete).to.equal(1);
+		expect(parse(['HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody'], 'GET', true).complete).to.equal(0);
+	});
+
+	for (const [name, text] of [
+		['a status line of another protocol', 'SSH-2.0-x\r\n\r\n'],
+		['a length and chunks at once', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n'],
+		['two lengths', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n'],
+		['a header without a name', 'HTTP/1.1 200 OK\r\n: x\r\n\r\n'],
+		['a malformed chunk size', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n'],
+		['a chunk that is longer than its size', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n'],
+	] as const) {
+		it(`refuses ${name}`, () => {
+			expect(() => parse([text])).to.throw(ResponseFormatError);
+		});
+	}
+});
--- /dev/null
+++ b/packages/gateway/test/node/targetConnection.test.ts
@@ -0,0 +1,135 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { expect } from 'chai';
+import type { ConnectionListener } from '../../src/node/targetConnection.js';
+import { TargetConnection } from '../../src/node/targetConnection.js';
+
+interface Heard {
+	readonly status: number | undefined;
+	readonly body: string;
+	readonly end: string;
+}
+
+describe('TargetConnection', () => {
+	let server: Server;
+	const sockets = new Set<Socket>();
+
+	afterEach(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+		sockets.clear();
+	});
+
+	async function listen(handle: (socket: Socket) => void): Promise<number> {
+		server = createServer((socket) => {
+			sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				handle(socket);
+			});
+		});
+		await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+		return (server.address() as AddressInfo).port;
+	}
+
+	function connectTo(port: number, onClosed: () => void = () => undefined): TargetConnection {
+		return new TargetConnection({ host: '127.0.0.1', port, connectTimeoutMs: 500, onClosed }, 4000);
+	}
+
+	function request(connection: TargetConnection, isAwaited = (): boolean => true): Promise<Heard> {
+		return new Promise((resolve) => {
+			let status: number | undefined;
+			let body = '';
+			const listener: ConnectionListener = {
+				onHead: (head) => {
+					status = head.status;
+				},
+				onBody: (chunk) => {
+					body += chunk.toString();
+				},
+				onEnd: () => {
+					const isEnd = isAwaited();
+					if (isEnd) {
+						resolve({ status, body, end: 'whole' });
+					}
+					return isEnd;
+				},
+				onFailure: (failure) => {
+					resolve({ status, body, end: failure });
+				},
+			};
+			connection.send('GET', [Buffer.from('GET / HTTP/1.1\r\n\r\n')], () => true, listener);
+		});
+	}
+
+	it('takes an answer without a length as whole when the connection ends in order', async () => {
+		const port = await listen((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nall of it'));
+		const heard = await request(connectTo(port));
+		expect(heard).to.deep.equal({ status: 200, body: 'all of it', end: 'whole' });
+	});
+
+	it('takes an answer without a length as broken when the connection is reset', async () => {
+		for (let round = 0; round < 20; round++) {
+			const port = await listen((socket) => {
+				socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => socket.resetAndDestroy());
+			});
+			const heard = await request(connectTo(port));
+			server.close();
+			expect(heard.end).to.equal('broken');
+		}
+	});
+
+	it('takes an answer that ends before its length as broken', async () => {
+		const port = await listen((socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf'));
+		expect((await request(connectTo(port))).end).to.equal('broken');
+	});
+
+	it('reads on after the answer to another request', async () => {
+		const port = await listen((socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew');
+		});
+		let answers = 0;
+		const heard = await request(connectTo(port), () => {
+			answers += 1;
+			return answers === 2;
+		});
+		expect(heard.body).to.equal('oldnew');
+		expect(heard.end).to.equal('whole');
+	});
+
+	it('carries no further request when bytes follow an answer', async () => {
+		const port = await listen((socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra');
+		});
+		let isClosed = false;
+		const connection = connectTo(port, () => {
+			isClosed = true;
+		});
+		expect((await request(connection)).end).to.equal('whole');
+		expect(isClosed).to.equal(true);
+	});
+
+	it('closes an idle connection on which bytes arrive', async () => {
+		const port = await listen((socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+			setTimeout(() => socket.write('HTTP/1.1 200 OK\r\n'), 30);
+		});
+		const closed = new Promise<void>((resolve) => {
+			void request(connectTo(port, resolve));
+		});
+		await closed;
+	});
+
+	it('reports bytes that are no response', async () => {
+		const port = await listen((socket) => socket.write('garbage\r\n\r\n'));
+		expect((await request(connectTo(port))).end).to.equal('malformed');
+	});
+
+	it('reports a refused connection as unreachable', async () => {
+		const port = await listen(() => undefined);
+		await new Promise((resolve) => server.close(resolve));
+		expect((await request(connectTo(port))).end).to.equal('unreachable');
+	});
+});
