Place prompts where most of them is cached

Cause: prompts gathered by subject only, so the parts that subjects share were read on every engine; an overflow chose engines without any of the prompt.

--- /dev/null
+++ b/packages/gateway/src/common/cachePlacement.ts
@@ -0,0 +1,96 @@
+/**
+ * Chooses an engine for a prompt: the one that has most of it cached, within a load limit that grows with what is
+ * saved. A long cached prefix may use nearly all of the promised bound; a prompt that is cheap to read again keeps
+ * out of its way, so that hot subjects do not overflow and get read on one engine after the other.
+ */
+import { hashPair } from '@papayawell/core';
+import type { PromptChain } from './promptChain.js';
+import type { TargetState } from './targetState.js';
+
+/** Load limit as a multiple of the mean plus a slack, for prompts that save nothing. */
+const BASE_FACTOR = 1.15;
+const BASE_SLACK = 1;
+/** The same for prompts that save most; the deployment promises 2 x mean + 3, and the loads of peers are late. */
+const FULL_FACTOR = 1.7;
+const FULL_SLACK = 2.5;
+/** Saved tokens from which the full limit holds: about 65 ms of reading. */
+const FULL_SAVING_TOKENS = 2000;
+
+export interface CacheChoice {
+	readonly target: TargetState;
+	/** Tokens of the prompt that it probably has. */
+	readonly cachedTokens: number;
+	/** Whether a better cached one was at its limit. */
+	readonly isOverflow: boolean;
+}
+
+interface Candidate {
+	readonly target: TargetState;
+	readonly cachedTokens: number;
+	readonly isWithinLimit: boolean;
+}
+
+/** @param meanLoad mean over all healthy targets of the service, those not among the candidates included */
+export function chooseByCache(
+	targets: readonly TargetState[],
+	chain: PromptChain,
+	meanLoad: number,
+): CacheChoice | undefined {
+	const candidates = targets.map((target) => assess(target, chain, meanLoad));
+	const within = candidates.filter(({ isWithinLimit }) => isWithinLimit);
+	if (within.length === 0) {
+		return findLeastLoaded(candidates);
+	}
+	const best = Math.max(...within.map(({ cachedTokens }) => cachedTokens));
+	const bestAnywhere = Math.max(...candidates.map(({ cachedTokens }) => cachedTokens));
+	const equal = within.filter(({ cachedTokens }) => cachedTokens === best);
+	const choice = pickByHash(equal, findPlacingHash(chain, best));
+	return choice === undefined ? undefined : { ...choice, isOverflow: best < bestAnywhere };
+}
+
+function assess(target: TargetState, chain: PromptChain, meanLoad: number): Candidate {
+	const cachedTokens = target.promptCache.countCached(chain);
+	const saving = Math.min(1, cachedTokens / FULL_SAVING_TOKENS);
+	const factor = BASE_FACTOR + (FULL_FACTOR - BASE_FACTOR) * saving;
+	const slack = BASE_SLACK + (FULL_SLACK - BASE_SLACK) * saving;
+	const limit = Math.min(target.record.slots, factor * meanLoad + slack);
+	return { target, cachedTokens, isWithinLimit: target.load + 1 <= limit };
+}
+
+/**
+ * Returns the hash by which instances that know the same pick the same engine: that of the first part that is not
+ * cached, so that prompts with a common beginning gather.
+ */
+function findPlacingHash(chain: PromptChain, cachedTokens: number): number {
+	let sum = 0;
+	for (const { hash, tokens } of chain) {
+		sum += tokens;
+		if (sum > cachedTokens) {
+			return hash;
+		}
+	}
+	return chain.at(-1)?.hash ?? 0;
+}
+
+function pickByHash(candidates: readonly Candidate[], hash: number): Candidate | undefined {
+	let best: Candidate | undefined;
+	let highest = -1;
+	for (const candidate of candidates) {
+		const score = hashPair(hash, candidate.target.nameHash);
+		if (score > highest) {
+			best = candidate;
+			highest = score;
+		}
+	}
+	return best;
+}
+
+function findLeastLoaded(candidates: readonly Candidate[]): CacheChoice | undefined {
+	let best: Candidate | undefined;
+	for (const candidate of candidates) {
+		if (best === undefined || candidate.target.load < best.target.load) {
+			best = candidate;
+		}
+	}
+	return best === undefined ? undefined : { ...best, isOverflow: true };
+}
--- a/packages/gateway/src/common/gatewayConfiguration.ts
+++ b/packages/gateway/src/common/gatewayConfiguration.ts
@@ -41,7 +41,8 @@
 	readonly name: string;
 	/** Connections that one target accepts from all its clients together. */
 	readonly maxConnections: number;
-	readonly isEngine: boolean;
+	/** Memory of each engine for prompts, in tokens; undefined for services that run no models. */
+	readonly memoryTokens: number | undefined;
 }
 
 export interface CallerLimits {
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -26,10 +26,18 @@
 	readonly requests: Readonly<Record<string, number>>;
 	/** Contents that crash targets: fingerprint, target and expiry of each crash seen. */
 	readonly crashes: readonly CrashNews[];
+	/** Prompts that engines read of late, as far as they were new there. */
+	readonly prompts: readonly PromptNews[];
 	/** Control addresses of other instances, so that each learns of all. */
 	readonly known: readonly string[];
 }
 
+export interface PromptNews {
+	readonly target: string;
+	/** Hash and tokens of each part in turn. */
+	readonly chain: readonly number[];
+}
+
 export interface CrashNews {
 	readonly fingerprint: string;
 	readonly target: string;
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -1,5 +1,6 @@
 /** What this instance knows of one target beside its entry: load, health, pace. */
 import { hashTextTo32 } from '@papayawell/core';
+import { PromptCache } from './promptCache.js';
 import { SILENCE_MS, TargetHealth } from './targetHealth.js';
 import type { TargetRecord } from './targetRecord.js';
 
@@ -9,6 +10,7 @@
 export class TargetState {
 	public readonly nameHash: number;
 	public readonly health = new TargetHealth();
+	public readonly promptCache = new PromptCache();
 	/** Requests of this instance in flight there. */
 	public ownRequests = 0;
 	/** Requests of the other instances in flight there, as they last told. */
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -1,29 +1,24 @@
 /** All targets that this instance knows, and the choice of one for a request. */
-import { hashPair } from '@papayawell/core';
+import { chooseByCache } from './cachePlacement.js';
+import type { PromptChain } from './promptChain.js';
 import { TargetState } from './targetState.js';
 import type { ViewChange } from './targetView.js';
 
-/**
- * A target takes a request while its load stays within this multiple of the mean plus the slack. Below the
- * deployment's promise (2 x mean + 3), since the loads of the other instances are some hundred ms old.
- */
-const LOAD_FACTOR = 1.5;
-const LOAD_SLACK = 2;
 /** Cost of leaving the zone when loads are equal, in requests. */
 const OTHER_ZONE_COST = 0.5;
 
 export interface PlacementRequest {
 	readonly service: string;
-	/** Hash of what the target should have cached; undefined if any target serves equally well. */
-	readonly affinityHash: number | undefined;
+	/** What the target should have cached; empty if any target serves equally well. */
+	readonly prompt: PromptChain;
 	/** Targets that are not to be taken. */
 	readonly excluded: ReadonlySet<string>;
 }
 
 export type PlacementReason =
-	/** First in the order of the affinity hash. */
-	| 'affinity'
-	/** Those before it in that order were at the load bound. */
+	/** It has most of the prompt cached, or is where such prompts gather. */
+	| 'cached'
+	/** Those that have more of the prompt were at their load limit. */
 	| 'overflow'
 	| 'leastLoaded'
 	/** No healthy target was left; it may have recovered. */
@@ -34,6 +29,8 @@
 	readonly reason: PlacementReason;
 	/** Mean load of the targets that were considered. */
 	readonly meanLoad: number;
+	/** Prompt tokens that the target probably has cached. */
+	readonly cachedTokens: number;
 }
 
 export class TargetTable {
@@ -99,10 +96,12 @@
 			return this.chooseLastResort(serving, request);
 		}
 		const meanLoad = healthy.reduce((sum, { load }) => sum + load, 0) / healthy.length;
-		if (request.affinityHash !== undefined) {
-			return chooseByAffinity(candidates, request.affinityHash, meanLoad);
+		const choice = request.prompt.length > 0 ? chooseByCache(candidates, request.prompt, meanLoad) : undefined;
+		if (choice === undefined) {
+			return { target: this.findCheapest(candidates), reason: 'leastLoaded', meanLoad, cachedTokens: 0 };
 		}
-		return { target: this.findCheapest(candidates), reason: 'leastLoaded', meanLoad };
+		const { target, cachedTokens, isOverflow } = choice;
+		return { target, reason: isOverflow ? 'overflow' : 'cached', meanLoad, cachedTokens };
 	}
 
 	/** Takes a target that is left out for its health when there is no other. */
@@ -114,7 +113,7 @@
 		if (candidates.length === 0) {
 			return undefined;
 		}
-		return { target: this.findCheapest(candidates), reason: 'lastResort', meanLoad: 0 };
+		return { target: this.findCheapest(candidates), reason: 'lastResort', meanLoad: 0, cachedTokens: 0 };
 	}
 
 	/** Weighs load, pace and zone. */
@@ -135,25 +134,6 @@
 	return reachable.filter(({ health }) => !health.isFailing(lowestShare));
 }
 
-/** Walks the targets in the order of their rendezvous hashes; the first one within the load bound takes it. */
-function chooseByAffinity(
-	candidates: readonly TargetState[],
-	affinityHash: number,
-	meanLoad: number,
-): Placement {
-	const limit = LOAD_FACTOR * meanLoad + LOAD_SLACK;
-	const preferred = findLowest(candidates, (target) => -hashPair(affinityHash, target.nameHash));
-	if (preferred.load + 1 <= limit) {
-		return { target: preferred, reason: 'affinity', meanLoad };
-	}
-	const within = candidates.filter(({ load }) => load + 1 <= limit);
-	if (within.length > 0) {
-		const target = findLowest(within, ({ nameHash }) => -hashPair(affinityHash, nameHash));
-		return { target, reason: 'overflow', meanLoad };
-	}
-	return { target: findLowest(candidates, ({ load }) => load), reason: 'overflow', meanLoad };
-}
-
 function findLowest(targets: readonly TargetState[], weigh: (target: TargetState) => number): TargetState {
 	let best: TargetState | undefined;
 	let lowest = Infinity;
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -1,11 +1,12 @@
 /** One request from the moment at which it is read whole to the last byte of its answer. */
 import type { SuspectBook, SuspectRun } from '@papayawell/core';
-import { computeAffinityHash } from '../common/affinity.js';
 import { decideAfterFailure } from '../common/attemptDecision.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { Customer, Route } from '../common/gatewayConfiguration.js';
 import { isRepeatable } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
+import type { PromptChain } from '../common/promptChain.js';
+import { buildPromptChain } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { describeRefusal } from '../common/refusal.js';
 import type { ResponseHead } from '../common/responseParser.js';
@@ -38,6 +39,8 @@
 	readonly takeRetry: (service: string) => boolean;
 	/** Notes that a connection to the target broke while it worked on `run`. */
 	readonly onBroken: (target: TargetState, run: SuspectRun) => void;
+	/** Notes that a target reads a prompt. */
+	readonly notePrompt: (target: TargetState, prompt: PromptChain) => void;
 	/** Age of the list of targets in ms. */
 	readonly readTargetsAge: () => number;
 }
@@ -62,7 +65,7 @@
 
 export class Exchange {
 	private readonly service: string;
-	private readonly affinityHash: number | undefined;
+	private readonly prompt: PromptChain;
 	private readonly tried = new Set<string>();
 	private readonly path: string[] = [];
 	private readonly timer: NodeJS.Timeout;
@@ -86,7 +89,7 @@
 	) {
 		const { route, request, receivedAtMs } = input;
 		this.service = pickService(route.services, Math.random()) ?? '';
-		this.affinityHash = route.hasAffinity ? computeAffinityHash(request) : undefined;
+		this.prompt = route.hasAffinity ? buildPromptChain(request.prompt) : [];
 		this.lastEventId = request.lastEventId;
 		const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
 		this.endsAtMs = receivedAtMs + limitMs;
@@ -150,7 +153,7 @@
 
 	private sendNext(): void {
 		const placement = this.parts.targets.choose(
-			{ service: this.service, affinityHash: this.affinityHash, excluded: this.tried },
+			{ service: this.service, prompt: this.prompt, excluded: this.tried },
 			performance.now(),
 		);
 		if (placement === undefined) {
@@ -194,7 +197,7 @@
 		});
 		const attempt: CurrentAttempt = { target, answer, run, isSent: false };
 		this.attempt = attempt;
-		this.path.push(`${record.id}:${placement.reason}:${target.load}/${placement.meanLoad.toFixed(1)}`);
+		this.path.push(`${record.id}:${placement.reason}:${target.load}/${placement.meanLoad.toFixed(1)}:${placement.cachedTokens}`);
 		target.noteSent(nowMs, this.estimateReadingTime());
 		const call = this.parts.caller.send(
 			target,
@@ -215,6 +218,9 @@
 			return false;
 		}
 		answer.bind(call);
+		if (this.prompt.length > 0) {
+			this.parts.notePrompt(target, this.prompt);
+		}
 		this.tried.add(record.id);
 		return true;
 	}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,7 +6,8 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { CrashNews, FleetInstance, PeerState } from '../common/peerState.js';
+import type { CrashNews, FleetInstance, PeerState, PromptNews } from '../common/peerState.js';
+import type { PromptChain } from '../common/promptChain.js';
 import { RetryWindow } from '../common/retryWindow.js';
 import type { RetryWindowSettings } from '../common/retryWindow.js';
 import type { TargetRecord } from '../common/targetRecord.js';
@@ -30,6 +31,9 @@
 const QUARANTINE_MS = 60_000;
 /** Crashes that are told to the other instances. */
 const MAX_CRASH_NEWS = 20;
+/** How long a prompt that is new at an engine is told to the others: two rounds, should one be lost. */
+const PROMPT_NEWS_MS = 700;
+const MAX_PROMPT_NEWS = 60;
 /** Part of a target's connections that the fleet uses; the older system has connections there too. */
 const CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 4;
@@ -93,6 +97,7 @@
 		readonly target: string;
 		readonly expiresAtMs: number;
 	}[] = [];
+	private promptNews: { readonly news: PromptNews; readonly untilMs: number }[] = [];
 	private digest = 0;
 	private wasServing = false;
 
@@ -138,6 +143,9 @@
 				onBroken: (target, run) => {
 					void this.checkBroken(target, run);
 				},
+				notePrompt: (target, prompt) => {
+					this.notePrompt(target, prompt);
+				},
 				readTargetsAge: () => this.view.computeAge(performance.now()),
 			},
 		});
@@ -267,6 +275,7 @@
 			targetsAgeMs: this.view.revision === 0 ? 0 : Math.round(this.view.computeAge(nowMs)),
 			targetsDigest: this.digest,
 			requests,
+			prompts: this.listPromptNews(nowMs),
 			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
 				fingerprint,
 				target,
@@ -281,11 +290,43 @@
 		this.configurationFollower.notePeerVersion(instance.controlAddress, configurationVersion);
 		const list = { revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
 		this.targetFollower.notePeerList(instance.controlAddress, list, this.digest, nowMs);
+		for (const { target, chain } of state.prompts) {
+			this.adoptPrompt(target, chain);
+		}
 		for (const news of state.crashes) {
 			this.adoptCrash(news, nowMs);
 		}
 	}
 
+	private notePrompt(target: TargetState, prompt: PromptChain): void {
+		if (target.promptCache.note(prompt, this.getMemory(target))) {
+			const chain = prompt.flatMap(({ hash, tokens }) => [hash, tokens]);
+			const news = { target: target.record.id, chain };
+			this.promptNews.push({ news, untilMs: performance.now() + PROMPT_NEWS_MS });
+		}
+	}
+
+	private listPromptNews(nowMs: number): readonly PromptNews[] {
+		this.promptNews = this.promptNews.filter(({ untilMs }) => untilMs > nowMs).slice(-MAX_PROMPT_NEWS);
+		return this.promptNews.map(({ news }) => news);
+	}
+
+	private adoptPrompt(id: string, parts: readonly number[]): void {
+		const target = this.targets.find(id);
+		if (target === undefined) {
+			return;
+		}
+		const chain: { hash: number; tokens: number }[] = [];
+		for (let index = 0; index + 1 < parts.length; index += 2) {
+			chain.push({ hash: parts[index] ?? 0, tokens: parts[index + 1] ?? 0 });
+		}
+		target.promptCache.note(chain, this.getMemory(target));
+	}
+
+	private getMemory(target: TargetState): number {
+		return this.inForce.current?.configuration.services.get(target.record.service)?.memoryTokens ?? 0;
+	}
+
 	private adoptCrash({ fingerprint, target, expiresInMs }: CrashNews, nowMs: number): void {
 		this.suspects.adopt(
 			{ kind: 'suspicion', fingerprint, target, expiresAtMs: nowMs + expiresInMs, version: nowMs },
--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -130,6 +130,7 @@
 		typeof state.targetsRevision === 'number' &&
 		typeof state.requests === 'object' &&
 		Array.isArray(state.crashes) &&
+		Array.isArray(state.prompts) &&
 		Array.isArray(state.known)
 	);
 }
