--- a/packages/gateway/src/common/cachePlacement.ts
+++ b/packages/gateway/src/common/cachePlacement.ts
@@ -5,6 +5,7 @@
  */
 import { hashPair } from '@papayawell/core';
 import type { PromptChain } from './promptChain.js';
+import { countTokens } from './promptChain.js';
 import type { TargetState } from './targetState.js';
 
 /** Load limit as a multiple of the mean plus a slack, for prompts that save nothing. */
@@ -16,6 +17,17 @@
 /** Saved tokens from which the full limit holds: about 65 ms of reading. */
 const FULL_SAVING_TOKENS = 2000;
 
+/** Prompt tokens that an engine reads in a ms beside its running requests, at least. */
+const READ_TOKENS_PER_MS = 25;
+/** Part of the latency objective that may pass with reading, the queue of prompts before it included. */
+const READING_SHARE = 0.5;
+
+export interface CacheRequest {
+	readonly prompt: PromptChain;
+	/** Time to the first event that is aimed at, in ms. */
+	readonly objectiveMs: number;
+}
+
 export interface CacheChoice {
 	readonly target: TargetState;
 	/** Tokens of the prompt that it probably has. */
@@ -28,18 +40,27 @@
 	readonly target: TargetState;
 	readonly cachedTokens: number;
 	readonly isWithinLimit: boolean;
+	/** Whether it can have read the prompt in time for the objective. */
+	readonly isInTime: boolean;
+	/** Tokens to read until the first event, those of the prompts before it included. */
+	readonly tokensToRead: number;
 }
 
 /** @param meanLoad mean over all healthy targets of the service, those not among the candidates included */
 export function chooseByCache(
 	targets: readonly TargetState[],
-	chain: PromptChain,
+	request: CacheRequest,
 	meanLoad: number,
 ): CacheChoice | undefined {
-	const candidates = targets.map((target) => assess(target, chain, meanLoad));
-	const within = candidates.filter(({ isWithinLimit }) => isWithinLimit);
+	const chain = request.prompt;
+	const candidates = targets.map((target) => assess(target, request, meanLoad));
+	const allowed = candidates.filter(({ isWithinLimit }) => isWithinLimit);
+	if (allowed.length === 0) {
+		return findLowest(candidates, ({ target }) => target.load);
+	}
+	const within = allowed.filter(({ isInTime }) => isInTime);
 	if (within.length === 0) {
-		return findLeastLoaded(candidates);
+		return findLowest(allowed, ({ tokensToRead }) => tokensToRead);
 	}
 	const best = Math.max(...within.map(({ cachedTokens }) => cachedTokens));
 	const bestAnywhere = Math.max(...candidates.map(({ cachedTokens }) => cachedTokens));
@@ -48,13 +69,20 @@
 	return choice === undefined ? undefined : { ...choice, isOverflow: best < bestAnywhere };
 }
 
-function assess(target: TargetState, chain: PromptChain, meanLoad: number): Candidate {
-	const cachedTokens = target.promptCache.countCached(chain);
+function assess(target: TargetState, { prompt, objectiveMs }: CacheRequest, meanLoad: number): Candidate {
+	const cachedTokens = target.promptCache.countCached(prompt);
 	const saving = Math.min(1, cachedTokens / FULL_SAVING_TOKENS);
 	const factor = BASE_FACTOR + (FULL_FACTOR - BASE_FACTOR) * saving;
 	const slack = BASE_SLACK + (FULL_SLACK - BASE_SLACK) * saving;
 	const limit = Math.min(target.record.slots, factor * meanLoad + slack);
-	return { target, cachedTokens, isWithinLimit: target.load + 1 <= limit };
+	const tokensToRead = target.readingTokens + countTokens(prompt) - cachedTokens;
+	return {
+		target,
+		cachedTokens,
+		isWithinLimit: target.load + 1 <= limit,
+		isInTime: tokensToRead <= READING_SHARE * objectiveMs * READ_TOKENS_PER_MS,
+		tokensToRead,
+	};
 }
 
 /**
@@ -85,10 +113,13 @@
 	return best;
 }
 
-function findLeastLoaded(candidates: readonly Candidate[]): CacheChoice | undefined {
+function findLowest(
+	candidates: readonly Candidate[],
+	weigh: (candidate: Candidate) => number,
+): CacheChoice | undefined {
 	let best: Candidate | undefined;
 	for (const candidate of candidates) {
-		if (best === undefined || candidate.target.load < best.target.load) {
+		if (best === undefined || weigh(candidate) < weigh(best)) {
 			best = candidate;
 		}
 	}
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -22,8 +22,8 @@
 	readonly targetsAgeMs: number;
 	/** Digest of the list of targets, so that equal lists need no transfer. */
 	readonly targetsDigest: number;
-	/** Requests in flight by target; targets without any are left out. */
-	readonly requests: Readonly<Record<string, number>>;
+	/** What it has in flight at each target; targets without anything are left out. */
+	readonly loads: readonly TargetLoadNews[];
 	/** Contents that crash targets: fingerprint, target and expiry of each crash seen. */
 	readonly crashes: readonly CrashNews[];
 	/** Prompts that engines read of late, as far as they were new there. */
@@ -32,6 +32,9 @@
 	readonly known: readonly string[];
 }
 
+/** Target, requests in flight there, and prompt tokens that they have it read before their first event. */
+export type TargetLoadNews = readonly [id: string, requests: number, readingTokens: number];
+
 export interface PromptNews {
 	readonly target: string;
 	/** Hash and tokens of each part in turn. */
--- a/packages/gateway/src/common/promptChain.ts
+++ b/packages/gateway/src/common/promptChain.ts
@@ -17,3 +17,7 @@
 		return { hash, tokens };
 	});
 }
+
+export function countTokens(chain: PromptChain): number {
+	return chain.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -15,6 +15,10 @@
 	public ownRequests = 0;
 	/** Requests of the other instances in flight there, as they last told. */
 	public peerRequests = 0;
+	/** Prompt tokens that requests of this instance have it read before their first event. */
+	public ownReadingTokens = 0;
+	/** The same for the other instances, as they last told. */
+	public peerReadingTokens = 0;
 	/** Smoothed time to the head of an answer, in ms; 0 before the first one. */
 	public headMs = 0;
 	private lastByteAtMs = -Infinity;
@@ -39,6 +43,11 @@
 		this.ownRequests -= 1;
 	}
 
+	/** Prompt tokens that it has to read before it can start on another prompt. */
+	public get readingTokens(): number {
+		return this.ownReadingTokens + this.peerReadingTokens;
+	}
+
 	public noteByte(nowMs: number): void {
 		this.lastByteAtMs = nowMs;
 	}
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -1,6 +1,7 @@
 /** All targets that this instance knows, and the choice of one for a request. */
 import { chooseByCache } from './cachePlacement.js';
 import type { PromptChain } from './promptChain.js';
+import type { TargetLoadNews } from './peerState.js';
 import { TargetState } from './targetState.js';
 import type { ViewChange } from './targetView.js';
 
@@ -11,6 +12,8 @@
 	readonly service: string;
 	/** What the target should have cached; empty if any target serves equally well. */
 	readonly prompt: PromptChain;
+	/** Time to the answer or its first event that is aimed at, in ms. */
+	readonly objectiveMs: number;
 	/** Targets that are not to be taken. */
 	readonly excluded: ReadonlySet<string>;
 }
@@ -69,17 +72,17 @@
 		}
 	}
 
-	/** Takes what the other instances have in flight, each by target. */
-	public setPeerRequests(peers: readonly Readonly<Record<string, number>>[]): void {
+	/** Takes what the other instances have in flight. */
+	public setPeerLoads(peers: readonly (readonly TargetLoadNews[])[]): void {
 		for (const state of this.states.values()) {
 			state.peerRequests = 0;
+			state.peerReadingTokens = 0;
 		}
-		for (const requests of peers) {
-			for (const [id, count] of Object.entries(requests)) {
-				const state = this.states.get(id);
-				if (state !== undefined) {
-					state.peerRequests += count;
-				}
+		for (const [id, requests, readingTokens] of peers.flat()) {
+			const state = this.states.get(id);
+			if (state !== undefined) {
+				state.peerRequests += requests;
+				state.peerReadingTokens += readingTokens;
 			}
 		}
 	}
@@ -96,7 +99,7 @@
 			return this.chooseLastResort(serving, request);
 		}
 		const meanLoad = healthy.reduce((sum, { load }) => sum + load, 0) / healthy.length;
-		const choice = request.prompt.length > 0 ? chooseByCache(candidates, request.prompt, meanLoad) : undefined;
+		const choice = request.prompt.length > 0 ? chooseByCache(candidates, request, meanLoad) : undefined;
 		if (choice === undefined) {
 			return { target: this.findCheapest(candidates), reason: 'leastLoaded', meanLoad, cachedTokens: 0 };
 		}
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -6,7 +6,7 @@
 import { isRepeatable } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
 import type { PromptChain } from '../common/promptChain.js';
-import { buildPromptChain } from '../common/promptChain.js';
+import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { describeRefusal } from '../common/refusal.js';
 import type { ResponseHead } from '../common/responseParser.js';
@@ -61,6 +61,8 @@
 	readonly answer: AttemptAnswer;
 	readonly run: SuspectRun;
 	isSent: boolean;
+	/** Prompt tokens that the target still reads for it. */
+	readingTokens: number;
 }
 
 export class Exchange {
@@ -153,7 +155,12 @@
 
 	private sendNext(): void {
 		const placement = this.parts.targets.choose(
-			{ service: this.service, prompt: this.prompt, excluded: this.tried },
+			{
+				service: this.service,
+				prompt: this.prompt,
+				objectiveMs: this.input.route.objectiveMs,
+				excluded: this.tried,
+			},
 			performance.now(),
 		);
 		if (placement === undefined) {
@@ -186,6 +193,7 @@
 			},
 			onStarted: () => {
 				this.firstAtMs ??= performance.now();
+				endReading(attempt);
 			},
 			onResult: (result) => {
 				this.handleResult(result);
@@ -195,9 +203,13 @@
 			instance: record.id,
 			incarnation: String(record.startedAtMs),
 		});
-		const attempt: CurrentAttempt = { target, answer, run, isSent: false };
+		const readingTokens = Math.max(0, countTokens(this.prompt) - placement.cachedTokens);
+		const attempt: CurrentAttempt = { target, answer, run, isSent: false, readingTokens };
+		target.ownReadingTokens += readingTokens;
 		this.attempt = attempt;
-		this.path.push(`${record.id}:${placement.reason}:${target.load}/${placement.meanLoad.toFixed(1)}:${placement.cachedTokens}`);
+		this.path.push(
+			`${record.id}:${placement.reason}:${target.load}/${placement.meanLoad.toFixed(1)}:${placement.cachedTokens}`,
+		);
 		target.noteSent(nowMs, this.estimateReadingTime());
 		const call = this.parts.caller.send(
 			target,
@@ -375,6 +387,7 @@
 		const { attempt } = this;
 		if (attempt !== undefined) {
 			this.attempt = undefined;
+			endReading(attempt);
 			attempt.target.noteEnded();
 			this.parts.suspects.end(attempt.run, end, performance.now());
 		}
@@ -418,3 +431,8 @@
 		this.onEnded();
 	}
 }
+
+function endReading(attempt: CurrentAttempt): void {
+	attempt.target.ownReadingTokens -= attempt.readingTokens;
+	attempt.readingTokens = 0;
+}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { CrashNews, FleetInstance, PeerState, PromptNews } from '../common/peerState.js';
+import type { CrashNews, FleetInstance, PeerState, PromptNews, TargetLoadNews } from '../common/peerState.js';
 import type { PromptChain } from '../common/promptChain.js';
 import { RetryWindow } from '../common/retryWindow.js';
 import type { RetryWindowSettings } from '../common/retryWindow.js';
@@ -248,7 +248,7 @@
 		this.targetFollower.tick(nowMs);
 		this.port.checkSilence(nowMs);
 		this.shutdown.tick(nowMs);
-		this.targets.setPeerRequests(this.fleet.peers.listAll().map(({ requests }) => requests));
+		this.targets.setPeerLoads(this.fleet.peers.listAll().map(({ loads }) => loads));
 		if (this.isServing() !== this.wasServing) {
 			this.wasServing = this.isServing();
 			this.dependencies.log.write('state', this.wasServing ? 'serving' : 'notServing', {
@@ -261,10 +261,10 @@
 
 	private describeSelf(): Omit<PeerState, 'known' | 'instance'> {
 		const nowMs = performance.now();
-		const requests: Record<string, number> = {};
-		for (const { record, ownRequests } of this.targets.all) {
+		const loads: TargetLoadNews[] = [];
+		for (const { record, ownRequests, ownReadingTokens } of this.targets.all) {
 			if (ownRequests > 0) {
-				requests[record.id] = ownRequests;
+				loads.push([record.id, ownRequests, ownReadingTokens]);
 			}
 		}
 		this.crashNews = this.crashNews.filter(({ expiresAtMs }) => expiresAtMs > nowMs).slice(-MAX_CRASH_NEWS);
@@ -274,7 +274,7 @@
 			targetsRevision: this.view.revision,
 			targetsAgeMs: this.view.revision === 0 ? 0 : Math.round(this.view.computeAge(nowMs)),
 			targetsDigest: this.digest,
-			requests,
+			loads,
 			prompts: this.listPromptNews(nowMs),
 			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
 				fingerprint,
--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -128,7 +128,7 @@
 		typeof state.instance.controlAddress === 'string' &&
 		typeof state.configurationVersion === 'number' &&
 		typeof state.targetsRevision === 'number' &&
-		typeof state.requests === 'object' &&
+		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
 		Array.isArray(state.known)
--- a/packages/gateway/test/common/responseParser.test.ts
+++ b/packages/gateway/test/common/responseParser.test.ts
@@ -37,7 +37,8 @@
 }
 
 describe('ResponseParser', () => {
-	const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nT: 1\r\n\r\n';
+	const chunked =
+		'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nT: 1\r\n\r\n';
 
 	it('reads the same answer however its bytes are split', () => {
 		fc.assert(
@@ -69,11 +70,17 @@
 
 	for (const [name, text] of [
 		['a status line of another protocol', 'SSH-2.0-x\r\n\r\n'],
-		['a length and chunks at once', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n'],
+		[
+			'a length and chunks at once',
+			'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n',
+		],
 		['two lengths', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n'],
 		['a header without a name', 'HTTP/1.1 200 OK\r\n: x\r\n\r\n'],
 		['a malformed chunk size', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n'],
-		['a chunk that is longer than its size', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n'],
+		[
+			'a chunk that is longer than its size',
+			'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n',
+		],
 	] as const) {
 		it(`refuses ${name}`, () => {
 			expect(() => parse([text])).to.throw(ResponseFormatError);
--- a/packages/gateway/test/node/targetConnection.test.ts
+++ b/packages/gateway/test/node/targetConnection.test.ts
@@ -88,7 +88,9 @@
 
 	it('reads on after the answer to another request', async () => {
 		const port = await listen((socket) => {
-			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew');
+			socket.write(
+				'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew',
+			);
 		});
 		let answers = 0;
 		const heard = await request(connectTo(port), () => {
@@ -101,7 +103,9 @@
 
 	it('carries no further request when bytes follow an answer', async () => {
 		const port = await listen((socket) => {
-			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra');
+			socket.write(
+				'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra',
+			);
 		});
 		let isClosed = false;
 		const connection = connectTo(port, () => {
