--- a/packages/gateway/src/common/cachePlacement.ts
+++ b/packages/gateway/src/common/cachePlacement.ts
@@ -22,6 +22,11 @@
 /** Part of the latency objective that may pass with reading, the queue of prompts before it included. */
 const READING_SHARE = 0.5;
 
+/** Fetching a cached part from another engine takes this part of the time of reading it. */
+const FETCH_TIME_SHARE = 0.3;
+/** Tokens that a fetch has to save to be worth its set-up. */
+const MIN_FETCH_TOKENS = 200;
+
 export interface CacheRequest {
 	readonly prompt: PromptChain;
 	/** Time to the first event that is aimed at, in ms. */
@@ -34,6 +39,8 @@
 	readonly cachedTokens: number;
 	/** Whether a better cached one was at its limit. */
 	readonly isOverflow: boolean;
+	/** The engine to fetch the rest of the cached prompt from. */
+	readonly source: TargetState | undefined;
 }
 
 interface Candidate {
@@ -46,14 +53,37 @@
 	readonly tokensToRead: number;
 }
 
-/** @param meanLoad mean over all healthy targets of the service, those not among the candidates included */
+/** The engine that has most of a prompt, among all that can be asked for it. */
+interface CacheSource {
+	readonly target: TargetState;
+	readonly cachedTokens: number;
+}
+
+/**
+ * @param targets engines that may take the prompt
+ * @param sources engines that cached parts may be fetched from; empty if they cannot
+ * @param meanLoad mean over all healthy targets of the service, those not among the candidates included
+ */
 export function chooseByCache(
 	targets: readonly TargetState[],
 	request: CacheRequest,
+	sources: readonly TargetState[],
 	meanLoad: number,
 ): CacheChoice | undefined {
-	const chain = request.prompt;
-	const candidates = targets.map((target) => assess(target, request, meanLoad));
+	const source = findSource(sources, request.prompt);
+	const candidates = targets.map((target) => assess(target, request, source, meanLoad));
+	const choice = chooseCandidate(candidates, request.prompt);
+	if (choice === undefined) {
+		return undefined;
+	}
+	const isFetching = source !== undefined && countFetched(source, choice.cachedTokens) > 0;
+	return { ...choice, source: isFetching ? source.target : undefined };
+}
+
+function chooseCandidate(
+	candidates: readonly Candidate[],
+	chain: PromptChain,
+): Omit<CacheChoice, 'source'> | undefined {
 	const allowed = candidates.filter(({ isWithinLimit }) => isWithinLimit);
 	if (allowed.length === 0) {
 		return findLowest(candidates, ({ target }) => target.load);
@@ -69,13 +99,36 @@
 	return choice === undefined ? undefined : { ...choice, isOverflow: best < bestAnywhere };
 }
 
-function assess(target: TargetState, { prompt, objectiveMs }: CacheRequest, meanLoad: number): Candidate {
+function findSource(sources: readonly TargetState[], prompt: PromptChain): CacheSource | undefined {
+	let best: CacheSource | undefined;
+	for (const target of sources) {
+		const cachedTokens = target.promptCache.countCached(prompt);
+		if (cachedTokens > (best?.cachedTokens ?? 0)) {
+			best = { target, cachedTokens };
+		}
+	}
+	return best;
+}
+
+function countFetched(source: CacheSource | undefined, cachedTokens: number): number {
+	const tokens = (source?.cachedTokens ?? 0) - cachedTokens;
+	return tokens >= MIN_FETCH_TOKENS ? tokens : 0;
+}
+
+function assess(
+	target: TargetState,
+	{ prompt, objectiveMs }: CacheRequest,
+	source: CacheSource | undefined,
+	meanLoad: number,
+): Candidate {
 	const cachedTokens = target.promptCache.countCached(prompt);
 	const saving = Math.min(1, cachedTokens / FULL_SAVING_TOKENS);
 	const factor = BASE_FACTOR + (FULL_FACTOR - BASE_FACTOR) * saving;
 	const slack = BASE_SLACK + (FULL_SLACK - BASE_SLACK) * saving;
 	const limit = Math.min(target.record.slots, factor * meanLoad + slack);
-	const tokensToRead = target.readingTokens + countTokens(prompt) - cachedTokens;
+	const missing = countTokens(prompt) - cachedTokens;
+	const saved = (1 - FETCH_TIME_SHARE) * countFetched(source, cachedTokens);
+	const tokensToRead = target.readingTokens + missing - saved;
 	return {
 		target,
 		cachedTokens,
@@ -116,7 +169,7 @@
 function findLowest(
 	candidates: readonly Candidate[],
 	weigh: (candidate: Candidate) => number,
-): CacheChoice | undefined {
+): Omit<CacheChoice, 'source'> | undefined {
 	let best: Candidate | undefined;
 	for (const candidate of candidates) {
 		if (best === undefined || weigh(candidate) < weigh(best)) {
--- a/packages/gateway/src/common/gatewayConfiguration.ts
+++ b/packages/gateway/src/common/gatewayConfiguration.ts
@@ -43,6 +43,8 @@
 	readonly maxConnections: number;
 	/** Memory of each engine for prompts, in tokens; undefined for services that run no models. */
 	readonly memoryTokens: number | undefined;
+	/** Whether its engines can fetch cached prompts from each other. */
+	readonly hasCacheTransfer: boolean;
 }
 
 export interface CallerLimits {
--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -33,6 +33,8 @@
 	readonly priority: number;
 	/** Continue the stream after this event. */
 	readonly resumeAfter: string | undefined;
+	/** Address of an engine that has more of the prompt cached, to fetch it from. */
+	readonly fetchFrom: string | undefined;
 }
 
 /** How busy a target says it is. */
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -14,6 +14,8 @@
 	readonly prompt: PromptChain;
 	/** Time to the answer or its first event that is aimed at, in ms. */
 	readonly objectiveMs: number;
+	/** Whether cached prompts can be fetched from other targets. */
+	readonly hasCacheTransfer: boolean;
 	/** Targets that are not to be taken. */
 	readonly excluded: ReadonlySet<string>;
 }
@@ -34,6 +36,8 @@
 	readonly meanLoad: number;
 	/** Prompt tokens that the target probably has cached. */
 	readonly cachedTokens: number;
+	/** The target to fetch more of the cached prompt from. */
+	readonly source: TargetState | undefined;
 }
 
 export class TargetTable {
@@ -92,19 +96,25 @@
 	}
 
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
-		const serving = (this.byService.get(request.service) ?? []).filter(({ record }) => !record.isLeaving);
+		const all = this.byService.get(request.service) ?? [];
+		const serving = all.filter(({ record }) => !record.isLeaving);
 		const healthy = selectHealthy(serving, nowMs);
 		const candidates = healthy.filter(({ record }) => !request.excluded.has(record.id));
 		if (candidates.length === 0) {
 			return this.chooseLastResort(serving, request);
 		}
 		const meanLoad = healthy.reduce((sum, { load }) => sum + load, 0) / healthy.length;
-		const choice = request.prompt.length > 0 ? chooseByCache(candidates, request, meanLoad) : undefined;
+		if (request.prompt.length === 0) {
+			return this.chooseCheapest(candidates, 'leastLoaded', meanLoad);
+		}
+		// A leaving target still gives away what it has cached.
+		const sources = request.hasCacheTransfer ? all.filter((target) => isReachable(target, nowMs)) : [];
+		const choice = chooseByCache(candidates, request, sources, meanLoad);
 		if (choice === undefined) {
-			return { target: this.findCheapest(candidates), reason: 'leastLoaded', meanLoad, cachedTokens: 0 };
+			return this.chooseCheapest(candidates, 'leastLoaded', meanLoad);
 		}
-		const { target, cachedTokens, isOverflow } = choice;
-		return { target, reason: isOverflow ? 'overflow' : 'cached', meanLoad, cachedTokens };
+		const { isOverflow, ...placed } = choice;
+		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
 	}
 
 	/** Takes a target that is left out for its health when there is no other. */
@@ -116,7 +126,15 @@
 		if (candidates.length === 0) {
 			return undefined;
 		}
-		return { target: this.findCheapest(candidates), reason: 'lastResort', meanLoad: 0, cachedTokens: 0 };
+		return this.chooseCheapest(candidates, 'lastResort', 0);
+	}
+
+	private chooseCheapest(
+		candidates: readonly TargetState[],
+		reason: PlacementReason,
+		meanLoad: number,
+	): Placement {
+		return { target: this.findCheapest(candidates), reason, meanLoad, cachedTokens: 0, source: undefined };
 	}
 
 	/** Weighs load, pace and zone. */
@@ -132,11 +150,15 @@
 }
 
 function selectHealthy(serving: readonly TargetState[], nowMs: number): TargetState[] {
-	const reachable = serving.filter((target) => !target.health.isSuspended(nowMs) && !target.isSilent(nowMs));
+	const reachable = serving.filter((target) => isReachable(target, nowMs));
 	const lowestShare = reachable.reduce((lowest, { health }) => Math.min(lowest, health.failureShare), 1);
 	return reachable.filter(({ health }) => !health.isFailing(lowestShare));
 }
 
+function isReachable(target: TargetState, nowMs: number): boolean {
+	return !target.health.isSuspended(nowMs) && !target.isSilent(nowMs);
+}
+
 function findLowest(targets: readonly TargetState[], weigh: (target: TargetState) => number): TargetState {
 	let best: TargetState | undefined;
 	let lowest = Infinity;
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -39,6 +39,8 @@
 	readonly takeRetry: (service: string) => boolean;
 	/** Notes that a connection to the target broke while it worked on `run`. */
 	readonly onBroken: (target: TargetState, run: SuspectRun) => void;
+	/** Whether the targets of a service can fetch cached prompts from each other. */
+	readonly hasCacheTransfer: (service: string) => boolean;
 	/** Notes that a target reads a prompt. */
 	readonly notePrompt: (target: TargetState, prompt: PromptChain) => void;
 	/** Age of the list of targets in ms. */
@@ -159,6 +161,7 @@
 				service: this.service,
 				prompt: this.prompt,
 				objectiveMs: this.input.route.objectiveMs,
+				hasCacheTransfer: this.parts.hasCacheTransfer(this.service),
 				excluded: this.tried,
 			},
 			performance.now(),
@@ -220,6 +223,7 @@
 				remainingMs: Math.max(1, Math.floor(this.endsAtMs - nowMs)),
 				customer: customer?.name,
 				priority: Math.min(MAX_PRIORITY, customer?.priority ?? route.priority),
+				fetchFrom: placement.source?.record.address,
 				resumeAfter: isContinuation ? this.lastEventId : request.lastEventId,
 			},
 			isRepeatable(route),
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -143,6 +143,8 @@
 				onBroken: (target, run) => {
 					void this.checkBroken(target, run);
 				},
+				hasCacheTransfer: (service) =>
+					this.inForce.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
 				notePrompt: (target, prompt) => {
 					this.notePrompt(target, prompt);
 				},
