--- a/packages/gateway/src/common/targetHealth.ts
+++ b/packages/gateway/src/common/targetHealth.ts
@@ -7,6 +7,8 @@
 const FAILURE_WEIGHT = 0.12;
 /** Smoothed share of failures above which a target is left out, if others do better. */
 const HIGH_FAILURE_SHARE = 0.35;
+/** Smoothed share of failures above which one more failure is no sign of a bad request. */
+const FREQUENT_FAILURE_SHARE = 0.2;
 /** How much worse than the best target of the service one must be to be left out. */
 const FAILURE_RATIO = 2;
 /** A target with requests in flight that sends nothing for this long is taken as hung. */
@@ -42,6 +44,11 @@
 		}
 	}
 
+	/** Whether it fails so often that a failure says little of the request. */
+	public get isFailingOften(): boolean {
+		return this.smoothedFailures > FREQUENT_FAILURE_SHARE;
+	}
+
 	/** Whether it fails so often that another target of the service serves better. */
 	public isFailing(lowestShare: number): boolean {
 		return (
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -21,7 +21,9 @@
 
 /** A further attempt needs at least this much time to be worth sending. */
 const MIN_ATTEMPT_MS = 30;
-/** Lowest and highest priority that targets know. */
+/** Failures on sound targets after which the request itself is taken for the cause. */
+const MAX_PLAIN_FAILURES = 2;
+/** The least urgent priority that targets know. */
 const MAX_PRIORITY = 9;
 /** Prompt tokens that a busy engine reads in a ms at least, for the time it may be silent. */
 const SLOW_PREFILL_TOKENS_PER_MS = 10;
@@ -80,6 +82,8 @@
 	private readonly timer: NodeJS.Timeout;
 	private readonly endsAtMs: number;
 	private attempt: CurrentAttempt | undefined;
+	/** Failures of targets that do not fail often: the request itself is then the likely cause. */
+	private plainFailures = 0;
 	private runs = 0;
 	private sends = 0;
 	private lastEventId: string | undefined;
@@ -276,6 +280,7 @@
 			case 'failureAnswer':
 				attempt.target.health.noteAnswer(true);
 				this.closeAttempt('failed');
+				this.plainFailures += attempt.target.health.isFailingOften ? 0 : 1;
 				if (this.parts.targets.isWorseThanOthers(attempt.target)) {
 					this.avoided.add(attempt.target.record.id);
 				}
@@ -354,7 +359,7 @@
 				isRepeatable: isRepeatable(route),
 				runs: this.runs,
 				sends: this.sends,
-				hasTarget: this.ranOn.size < route.maxAttempts || this.hasTargetLeft(),
+				hasTarget: this.hasTargetLeft(),
 				hasStarted: this.answer.hasStarted,
 				isResumable: route.isResumable && this.lastEventId !== undefined,
 				hasTime: this.endsAtMs - performance.now() > MIN_ATTEMPT_MS,
@@ -364,6 +369,12 @@
 	}
 
 	private hasTargetLeft(): boolean {
+		if (this.plainFailures >= MAX_PLAIN_FAILURES) {
+			return false;
+		}
+		if (this.ranOn.size < this.input.route.maxAttempts) {
+			return true;
+		}
 		return [...this.ranOn].some((id) => !this.avoided.has(id));
 	}
 
