--- a/packages/gateway/src/common/cachePlacement.ts
+++ b/packages/gateway/src/common/cachePlacement.ts
@@ -71,7 +71,7 @@
 	meanLoad: number,
 ): CacheChoice | undefined {
 	const source = findSource(sources, request.prompt);
-	const candidates = targets.map((target) => assess(target, request, source, meanLoad));
+	const candidates = targets.map((target) => weighCandidate(target, request, source, meanLoad));
 	const choice = chooseCandidate(candidates, request.prompt);
 	if (choice === undefined) {
 		return undefined;
@@ -115,7 +115,7 @@
 	return tokens >= MIN_FETCH_TOKENS ? tokens : 0;
 }
 
-function assess(
+function weighCandidate(
 	target: TargetState,
 	{ prompt, objectiveMs }: CacheRequest,
 	source: CacheSource | undefined,
--- a/packages/gateway/src/common/metadataStore.ts
+++ b/packages/gateway/src/common/metadataStore.ts
@@ -48,3 +48,8 @@
 		super(message);
 	}
 }
+
+/** Describes the reason of a failed call for the log; undefined if there is none. */
+export function describeError(error: unknown): string | undefined {
+	return error === undefined || error instanceof Error ? error?.message : JSON.stringify(error);
+}
--- a/packages/gateway/src/common/responseParser.ts
+++ b/packages/gateway/src/common/responseParser.ts
@@ -62,9 +62,9 @@
 	}
 
 	/** Takes the next bytes; returns those that follow a whole answer. Throws a `ResponseFormatError`. */
-	public push(chunk: Buffer): Buffer {
+	public add(chunk: Buffer): Buffer {
 		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-		while (this.state.kind !== 'done' && this.step()) {
+		while (this.state.kind !== 'done' && this.readNext()) {
 			// Each step consumes what it can.
 		}
 		if (this.state.kind === 'done') {
@@ -89,7 +89,7 @@
 	}
 
 	/** Returns whether there may be more to do with the pending bytes. */
-	private step(): boolean {
+	private readNext(): boolean {
 		const { state } = this;
 		switch (state.kind) {
 			case 'head':
@@ -132,11 +132,11 @@
 	private startBody(framing: BodyFraming): void {
 		switch (framing.kind) {
 			case 'none':
-				this.complete();
+				this.end();
 				return;
 			case 'length':
 				if (framing.length === 0) {
-					this.complete();
+					this.end();
 					return;
 				}
 				this.state = { kind: 'length', left: framing.length };
@@ -160,7 +160,7 @@
 		this.handler.onBody(taken);
 		if (state.left === 0) {
 			if (state.kind === 'length') {
-				this.complete();
+				this.end();
 			} else {
 				this.state = { kind: 'chunkEnd' };
 			}
@@ -200,7 +200,7 @@
 			return false;
 		}
 		if (line === '') {
-			this.complete();
+			this.end();
 		}
 		return true;
 	}
@@ -227,7 +227,7 @@
 		return line;
 	}
 
-	private complete(): void {
+	private end(): void {
 		this.state = this.handler.onComplete() ? { kind: 'done' } : { kind: 'head' };
 	}
 }
--- a/packages/gateway/src/common/targetHealth.ts
+++ b/packages/gateway/src/common/targetHealth.ts
@@ -31,12 +31,12 @@
 	public noteAnswer(isFailure: boolean): void {
 		this.streak = 0;
 		this.suspendedUntilMs = -Infinity;
-		this.smooth(isFailure);
+		this.track(isFailure);
 	}
 
 	/** Notes a call whose connection failed, broke or stayed silent. */
 	public noteBroken(nowMs: number, isUnreachable: boolean): void {
-		this.smooth(true);
+		this.track(true);
 		this.streak += 1;
 		if (isUnreachable || this.streak > 1) {
 			const suspensionMs = Math.min(MAX_SUSPENSION_MS, SUSPENSION_MS * 2 ** Math.max(0, this.streak - 1));
@@ -57,7 +57,7 @@
 		);
 	}
 
-	private smooth(isFailure: boolean): void {
+	private track(isFailure: boolean): void {
 		this.smoothedFailures += FAILURE_WEIGHT * ((isFailure ? 1 : 0) - this.smoothedFailures);
 	}
 }
--- a/packages/gateway/src/node/attemptAnswer.ts
+++ b/packages/gateway/src/node/attemptAnswer.ts
@@ -69,7 +69,7 @@
 	private readonly scanner = new EventScanner();
 	private mode: Mode = 'head';
 	private head: ResponseHead | undefined;
-	private kept: Buffer[] = [];
+	private readonly kept: Buffer[] = [];
 	private keptBytes = 0;
 	/** What is reported when the discarded answer has ended. */
 	private verdict: AttemptResult | undefined;
@@ -89,17 +89,17 @@
 	public onHead(head: ResponseHead, facts: AnswerFacts): void {
 		this.head = head;
 		if (facts.isOtherTarget || facts.isNotRun) {
-			this.discard(facts.isOtherTarget ? OTHER_TARGET : NOT_RUN);
+			this.dropRest(facts.isOtherTarget ? OTHER_TARGET : NOT_RUN);
 			return;
 		}
 		const isSuccess = head.status >= 200 && head.status < 300;
 		if (!facts.isSigned || head.headers.has('content-encoding') || isPromise(head.status)) {
-			this.discard(describeUnusable(`HTTP ${head.status} is not a proper answer`));
+			this.dropRest(describeUnusable(`HTTP ${head.status} is not a proper answer`));
 			return;
 		}
 		const { isStream, isContinuation } = this.options;
 		if (isContinuation && !(isSuccess && isEventStream(head))) {
-			this.discard(describeUnusable(`HTTP ${head.status} in place of the rest of the stream`));
+			this.dropRest(describeUnusable(`HTTP ${head.status} in place of the rest of the stream`));
 			return;
 		}
 		this.mode = isStream && isSuccess && isEventStream(head) ? 'events' : 'keep';
@@ -158,7 +158,7 @@
 		this.call?.cancel();
 	}
 
-	private discard(verdict: AttemptResult): void {
+	private dropRest(verdict: AttemptResult): void {
 		this.mode = 'discard';
 		this.verdict = verdict;
 		const framing = this.head?.framing.kind;
--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -58,7 +58,7 @@
 	}
 
 	/** Breaks a started answer off. */
-	public cut(): void {
+	public reset(): void {
 		this.isEnded = true;
 		this.response.destroy();
 	}
@@ -66,7 +66,7 @@
 	/** Sends an answer of the gateway itself. */
 	public sendOwn(status: number, headers: Readonly<Record<string, string>>, detail: string): void {
 		if (this.hasHead || this.isEnded) {
-			this.cut();
+			this.reset();
 			return;
 		}
 		const body = Buffer.from(JSON.stringify({ status, detail }));
--- a/packages/gateway/src/node/callersPort.ts
+++ b/packages/gateway/src/node/callersPort.ts
@@ -194,7 +194,7 @@
 		response.on('close', () => {
 			clearTimeout(timer);
 			if (!response.writableFinished) {
-				exchange?.abandon();
+				exchange?.cancel();
 			}
 		});
 	}
--- a/packages/gateway/src/node/configurationFollower.ts
+++ b/packages/gateway/src/node/configurationFollower.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationInForce } from '../common/configurationInForce.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import { StoreError } from '../common/metadataStore.js';
+import { describeError, StoreError } from '../common/metadataStore.js';
 
 /** First pause after a failed call; doubles up to the longest. */
 const FIRST_PAUSE_MS = 100;
@@ -32,7 +32,7 @@
 	constructor(private readonly parts: ConfigurationFollowerParts) {}
 
 	public start(): void {
-		void this.follow();
+		void this.run();
 	}
 
 	/** Notes the version that a peer has in force. */
@@ -61,7 +61,7 @@
 		}
 	}
 
-	private async follow(): Promise<void> {
+	private async run(): Promise<void> {
 		const { signal } = this.stopper;
 		let revision: number | undefined;
 		let pauseMs = FIRST_PAUSE_MS;
@@ -71,9 +71,6 @@
 				pauseMs = FIRST_PAUSE_MS;
 				this.noteStore(undefined);
 			} catch (error) {
-				if (signal.aborted) {
-					return;
-				}
 				revision = isCompacted(error) ? undefined : revision;
 				this.noteStore(error);
 				await sleep(pauseMs * (1 - PAUSE_SPREAD * Math.random()));
@@ -106,7 +103,7 @@
 			this.parts.log.write('state', isLost ? 'storeLost' : 'storeRegained', {
 				user: 'configuration',
 				version: this.parts.inForce.version,
-				detail: isLost ? String(error) : undefined,
+				detail: describeError(error),
 			});
 		}
 	}
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -139,7 +139,7 @@
 	}
 
 	/** The caller went away: nothing of the request goes on. */
-	public abandon(): void {
+	public cancel(): void {
 		if (!this.isEnded) {
 			this.dropAttempt();
 			this.end('abandoned', { detail: 'the caller closed its connection' });
@@ -177,11 +177,11 @@
 			performance.now(),
 		);
 		if (placement === undefined) {
-			this.giveUp('noTarget', `service ${this.service} has no target that takes work`);
+			this.endUnserved('noTarget', `service ${this.service} has no target that takes work`);
 			return;
 		}
 		if (!this.send(placement)) {
-			this.giveUp('noConnection', `no further connection to ${placement.target.record.id} is allowed`);
+			this.endUnserved('noConnection', `no further connection to ${placement.target.record.id} is allowed`);
 		}
 	}
 
@@ -285,7 +285,7 @@
 					this.avoided.add(attempt.target.record.id);
 				}
 				this.fallback = { head: result.head, body: result.body };
-				this.follow(true, 'failureAnswer', `HTTP ${result.head.status}`);
+				this.decideNext(true, 'failureAnswer', `HTTP ${result.head.status}`);
 				return;
 			case 'failed':
 				this.noteFailed(attempt, result.failure);
@@ -296,7 +296,7 @@
 						this.ranOn.delete(attempt.target.record.id);
 					}
 				}
-				this.follow(result.mayHaveRun, result.failure, result.detail);
+				this.decideNext(result.mayHaveRun, result.failure, result.detail);
 				return;
 		}
 	}
@@ -329,7 +329,7 @@
 	}
 
 	/** Carries out what follows a failed attempt. */
-	private follow(mayHaveRun: boolean, failure: AttemptFailure | 'failureAnswer', detail: string): void {
+	private decideNext(mayHaveRun: boolean, failure: AttemptFailure | 'failureAnswer', detail: string): void {
 		const decision = this.decide(mayHaveRun);
 		const isAgain = decision === 'retry' || decision === 'resume';
 		const hasAllowance = !isAgain || this.sends === 0 || this.parts.takeRetry(this.service);
@@ -349,7 +349,7 @@
 			this.sendNext();
 			return;
 		}
-		this.giveUp(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
+		this.endUnserved(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
 	}
 
 	private decide(mayHaveRun: boolean): ReturnType<typeof decideAfterFailure> {
@@ -379,9 +379,9 @@
 	}
 
 	/** Nothing more is tried: gives the caller the final answer at once. */
-	private giveUp(reason: RefusalReason, detail: string): void {
+	private endUnserved(reason: RefusalReason, detail: string): void {
 		if (this.answer.hasStarted) {
-			this.answer.cut();
+			this.answer.reset();
 			this.end('cut', { detail });
 			return;
 		}
@@ -411,7 +411,7 @@
 		const wasSent = this.attempt?.isSent === true || this.runs > 0;
 		this.dropAttempt();
 		if (this.answer.hasStarted || this.fallback !== undefined) {
-			this.giveUp('timeout', 'the time limit passed');
+			this.endUnserved('timeout', 'the time limit passed');
 			return;
 		}
 		this.refuse(wasSent ? 'timeout' : 'timeoutBeforeRun', 'the time limit passed');
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -75,11 +75,11 @@
 		}
 		if (nowMs >= this.nextRegisterMs) {
 			this.nextRegisterMs = nowMs + REGISTER_MS;
-			void this.register();
+			void this.renewEntry();
 		}
 		if (nowMs >= this.nextDiscoverMs) {
 			this.nextDiscoverMs = nowMs + (this.peers.listAll().length === 0 ? EAGER_DISCOVER_MS : DISCOVER_MS);
-			void this.discover();
+			void this.findOthers();
 		}
 	}
 
@@ -140,7 +140,7 @@
 		this.parts.onPeer(state, previous);
 	}
 
-	private async register(): Promise<void> {
+	private async renewEntry(): Promise<void> {
 		const { store, self } = this.parts;
 		try {
 			await store.keepInstance(self.name, self.controlAddress, this.stopper.signal);
@@ -149,7 +149,7 @@
 		}
 	}
 
-	private async discover(): Promise<void> {
+	private async findOthers(): Promise<void> {
 		try {
 			for (const address of await this.parts.store.listInstances(this.stopper.signal)) {
 				this.candidates.set(address, performance.now() + CANDIDATE_MS);
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -109,7 +109,7 @@
 		const write = (): void => {
 			if (!onSending()) {
 				this.listener = undefined;
-				this.becomeIdle();
+				this.markIdle();
 				return;
 			}
 			this.parser = new ResponseParser(method, this);
@@ -170,7 +170,7 @@
 		clearTimeout(this.connectTimer);
 		this.isConnected = true;
 		if (this.waiting === undefined) {
-			this.becomeIdle();
+			this.markIdle();
 			return;
 		}
 		this.waiting();
@@ -184,7 +184,7 @@
 			return;
 		}
 		try {
-			const surplus = this.parser.push(chunk);
+			const surplus = this.parser.add(chunk);
 			if (this.listener === undefined && !this.isClosed) {
 				this.finishRequest(surplus.length > 0);
 			}
@@ -203,10 +203,10 @@
 			this.markClosed();
 			return;
 		}
-		this.becomeIdle();
+		this.markIdle();
 	}
 
-	private becomeIdle(): void {
+	private markIdle(): void {
 		this.idleSince = performance.now();
 		this.socket.resume();
 	}
@@ -214,7 +214,7 @@
 	private handleEnd(): void {
 		const { parser, listener } = this;
 		if (parser !== undefined && listener !== undefined && parser.endsWithConnection) {
-			this.confirmOrderlyEnd(parser);
+			this.checkOrderlyEnd(parser);
 			return;
 		}
 		this.fail('broken', 'the connection ended before the answer was whole');
@@ -224,7 +224,7 @@
 	 * A reset right after the last bytes is reported as an orderly end by the event loop. Writing tells them apart:
 	 * on a connection that was reset it fails. An empty line between requests means nothing to the target.
 	 */
-	private confirmOrderlyEnd(parser: ResponseParser): void {
+	private checkOrderlyEnd(parser: ResponseParser): void {
 		this.socket.write('\r\n', (error) => {
 			if (this.listener === undefined) {
 				return;
--- a/packages/gateway/src/node/targetFollower.ts
+++ b/packages/gateway/src/node/targetFollower.ts
@@ -5,6 +5,7 @@
 import type { Disposable } from '@papayawell/core';
 import type { EventLog } from '../common/eventLog.js';
 import type { MetadataStore } from '../common/metadataStore.js';
+import { describeError } from '../common/metadataStore.js';
 import type { ListedTargets, ListSource, TargetView, ViewChange } from '../common/targetView.js';
 import { isEmptyChange } from '../common/targetView.js';
 
@@ -136,7 +137,7 @@
 			this.parts.log.write('state', isLost ? 'storeLost' : 'storeRegained', {
 				user: 'targets',
 				targetsAgeMs: Math.round(this.parts.view.computeAge(performance.now())),
-				detail: isLost ? String(error) : undefined,
+				detail: describeError(error),
 			});
 		}
 	}
--- /dev/null
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai';
+import type { PeerState } from '../../src/common/peerState.js';
+import { PeerTable } from '../../src/common/peerTable.js';
+
+function makeState(name: string, isServing = true): PeerState {
+	return {
+		instance: { name, incarnation: '1', zone: 'a', callersAddress: `${name}:1`, controlAddress: `${name}:2` },
+		isServing,
+		configurationVersion: 1,
+		targetsRevision: 1,
+		targetsAgeMs: 0,
+		targetsDigest: 0,
+		loads: [],
+		prompts: [],
+		crashes: [],
+		known: [],
+	};
+}
+
+describe('PeerTable', () => {
+	it('offers callers only instances that serve and were heard of late', () => {
+		const table = new PeerTable('b');
+		table.note(makeState('a'), 0);
+		table.note(makeState('c', false), 0);
+		const names = (nowMs: number): string[] => table.listServing(nowMs).map(({ instance }) => instance.name);
+		expect(names(1000)).to.deep.equal(['a']);
+		expect(names(1600)).to.deep.equal([]);
+	});
+
+	it('ranks the readers of the store by name, and skips those that went quiet', () => {
+		const table = new PeerTable('b');
+		table.note(makeState('a'), 0);
+		table.note(makeState('c'), 0);
+		expect(table.findOwnRank(100)).to.equal(1);
+		expect(table.findOwnRank(1600)).to.equal(0);
+	});
+
+	it('remembers how many share the common limits when some go quiet', () => {
+		const table = new PeerTable('b');
+		table.note(makeState('a'), 0);
+		table.note(makeState('c'), 0);
+		expect(table.countInstances(100)).to.equal(3);
+		table.expire(5000);
+		expect(table.countInstances(5000)).to.equal(3);
+		expect(table.countInstances(30_000)).to.equal(1);
+	});
+});
--- a/packages/gateway/test/common/responseParser.test.ts
+++ b/packages/gateway/test/common/responseParser.test.ts
@@ -23,7 +23,7 @@
 		},
 	});
 	for (const piece of pieces) {
-		parsed.surplus += parser.push(Buffer.from(piece, 'latin1')).toString('latin1');
+		parsed.surplus += parser.add(Buffer.from(piece, 'latin1')).toString('latin1');
 	}
 	if (finish) {
 		parser.finish();
--- /dev/null
+++ b/packages/gateway/test/common/routeTable.test.ts
@@ -0,0 +1,67 @@
+import { expect } from 'chai';
+import { ConfigurationInForce } from '../../src/common/configurationInForce.js';
+import { pickService, RouteTable } from '../../src/common/routeTable.js';
+import { makeConfiguration, makeRoute } from './fixtures.js';
+
+describe('RouteTable', () => {
+	const customersByKey = new Map([['key', { name: 'acme', priority: undefined }]]);
+	const routes = [
+		makeRoute({ name: 'short', prefix: '/a/' }),
+		makeRoute({ name: 'long', prefix: '/a/b/' }),
+		makeRoute({ name: 'open', prefix: '/open/', isPublic: true }),
+	];
+	const table = new RouteTable(makeConfiguration({ routes, customersByKey }));
+
+	for (const [host, path, key, expected] of [
+		['a.example', '/a/x', 'key', 'short'],
+		['a.example', '/a/b/x', 'key', 'long'],
+		['A.Example:8080', '/a/b/', 'key', 'long'],
+		['a.example', '/a/bx', 'key', 'short'],
+		['a.example', '/a', 'key', 'noRoute'],
+		['b.example', '/a/x', 'key', 'noRoute'],
+		['a.example', '/a/x', undefined, 'unknownKey'],
+		['a.example', '/a/x', 'gone', 'unknownKey'],
+		['a.example', '/open/x', undefined, 'open'],
+	] as const) {
+		it(`finds ${expected} for ${host}${path} with key ${key ?? 'none'}`, () => {
+			const answer = table.find(host, path, key);
+			expect(answer.kind === 'found' ? answer.route.name : answer.kind).to.equal(expected);
+		});
+	}
+
+	it('asks for no key where the configuration names no customers', () => {
+		expect(new RouteTable(makeConfiguration()).find('a.example', '/a/x', undefined).kind).to.equal('found');
+	});
+
+	it('splits by weight', () => {
+		const services = [
+			{ service: 'a', weight: 90 },
+			{ service: 'b', weight: 10 },
+		];
+		expect([0, 0.89, 0.91, 0.999].map((share) => pickService(services, share))).to.deep.equal([
+			'a',
+			'a',
+			'b',
+			'b',
+		]);
+	});
+});
+
+describe('ConfigurationInForce', () => {
+	it('takes only higher versions, whatever their source', () => {
+		const inForce = new ConfigurationInForce();
+		const adopted: number[] = [];
+		inForce.onDidAdopt(({ inForce: { configuration } }) => adopted.push(configuration.version));
+		for (const [version, source] of [
+			[5, 'store'],
+			[3, 'peer'],
+			[5, 'peer'],
+			[9, 'peer'],
+			[7, 'store'],
+		] as const) {
+			inForce.offer({ configuration: makeConfiguration({ version }), encoded: '' }, source);
+		}
+		expect(adopted).to.deep.equal([5, 9]);
+		expect(inForce.version).to.equal(9);
+	});
+});
--- /dev/null
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -0,0 +1,85 @@
+import { expect } from 'chai';
+import type { PlacementRequest } from '../../src/common/targetTable.js';
+import { TargetTable } from '../../src/common/targetTable.js';
+import { makeRecord } from './fixtures.js';
+
+const REQUEST: PlacementRequest = {
+	service: 'engines',
+	prompt: [],
+	objectiveMs: 100,
+	hasCacheTransfer: false,
+	excluded: new Set(),
+	allowed: undefined,
+};
+
+function makeTable(...ids: string[]): TargetTable {
+	const table = new TargetTable('a');
+	table.apply({ added: ids.map((id) => makeRecord(id)), changed: [], removed: [] });
+	return table;
+}
+
+function choose(table: TargetTable, request: Partial<PlacementRequest> = {}, nowMs = 0): string | undefined {
+	return table.choose({ ...REQUEST, ...request }, nowMs)?.target.record.id;
+}
+
+describe('TargetTable', () => {
+	it('gives nothing new to a leaving target', () => {
+		const table = makeTable('x', 'y');
+		table.apply({ added: [], changed: [makeRecord('x', { isLeaving: true })], removed: [] });
+		for (let request = 0; request < 20; request++) {
+			expect(choose(table)).to.equal('y');
+		}
+	});
+
+	it('leaves out a target that cannot be reached, and takes it back later', () => {
+		const table = makeTable('x', 'y');
+		table.find('x')?.health.noteBroken(0, true);
+		expect(choose(table, {}, 100)).to.equal('y');
+		expect(choose(table, { excluded: new Set(['y']) }, 600)).to.equal('x');
+	});
+
+	it('leaves out a target that has gone silent while it works', () => {
+		const table = makeTable('x', 'y');
+		table.find('x')?.noteSent(0, 0);
+		expect(choose(table, { excluded: new Set(['y']) }, 400)).to.equal('x');
+		table.find('y')?.noteByte(0);
+		expect(choose(table, {}, 600)).to.equal('y');
+	});
+
+	it('leaves out a target that fails much more often than the others, not one that fails like all', () => {
+		const table = makeTable('x', 'y');
+		for (let answer = 0; answer < 20; answer++) {
+			table.find('x')?.health.noteAnswer(true);
+			table.find('y')?.health.noteAnswer(false);
+		}
+		for (let request = 0; request < 20; request++) {
+			expect(choose(table)).to.equal('y');
+		}
+		for (let answer = 0; answer < 20; answer++) {
+			table.find('y')?.health.noteAnswer(true);
+		}
+		const chosen = new Set(Array.from({ length: 50 }, () => choose(table)));
+		expect(chosen.size).to.equal(2);
+	});
+
+	it('tries an unhealthy target when there is no other', () => {
+		const table = makeTable('x');
+		table.find('x')?.health.noteBroken(0, true);
+		expect(table.choose(REQUEST, 100)?.reason).to.equal('lastResort');
+	});
+
+	it('keeps to the targets that a request may still run on', () => {
+		const table = makeTable('x', 'y', 'z');
+		for (let request = 0; request < 20; request++) {
+			expect(choose(table, { allowed: new Set(['z']) })).to.equal('z');
+		}
+		expect(choose(table, { allowed: new Set(['z']), excluded: new Set(['z']) })).to.equal(undefined);
+	});
+
+	it('forgets what it knew of a target that started again under its id', () => {
+		const table = makeTable('x');
+		table.find('x')?.health.noteBroken(0, true);
+		table.apply({ added: [], changed: [makeRecord('x', { startedAtMs: 2 })], removed: [] });
+		expect(table.choose(REQUEST, 100)?.reason).to.equal('leastLoaded');
+	});
+});
--- /dev/null
+++ b/packages/gateway/test/common/targetView.test.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai';
+import type { TargetRecord } from '../../src/common/targetRecord.js';
+import { TargetView } from '../../src/common/targetView.js';
+import { makeRecord } from './fixtures.js';
+
+function list(revision: number, ...targets: TargetRecord[]): { revision: number; targets: TargetRecord[] } {
+	return { revision, targets };
+}
+
+function ids(view: TargetView): string[] {
+	return view.records.map(({ id }) => id).sort();
+}
+
+describe('TargetView', () => {
+	it('ignores a list that is older than the newest', () => {
+		const view = new TargetView();
+		view.apply(list(5, makeRecord('a')), 'store', 0, 0);
+		view.apply(list(4, makeRecord('b')), 'peer', 10, 10);
+		expect(ids(view)).to.deep.equal(['a']);
+	});
+
+	it('drops at once what is missing while the store is up', () => {
+		const view = new TargetView();
+		view.apply(list(1, makeRecord('a'), makeRecord('b')), 'store', 0, 0);
+		const { removed } = view.apply(list(2, makeRecord('b')), 'store', 700, 700);
+		expect(removed.map(({ id }) => id)).to.deep.equal(['a']);
+	});
+
+	it('keeps entries that lapsed during an outage until they had time to come back', () => {
+		const view = new TargetView();
+		view.apply(list(1, makeRecord('a'), makeRecord('b')), 'store', 0, 0);
+		view.apply(list(2), 'store', 8000, 8000);
+		expect(ids(view)).to.deep.equal(['a', 'b']);
+		view.apply(list(3, makeRecord('b')), 'store', 9000, 9000);
+		view.expire(10_100);
+		expect(ids(view)).to.deep.equal(['a', 'b']);
+		view.expire(10_300);
+		expect(ids(view)).to.deep.equal(['b']);
+	});
+
+	it('does not take a leaving target back under the same start', () => {
+		const view = new TargetView();
+		view.apply(list(1, makeRecord('a', { isLeaving: true })), 'store', 0, 0);
+		view.apply(list(2, makeRecord('a')), 'peer', 100, 100);
+		expect(view.records[0]?.isLeaving).to.equal(true);
+		view.apply(list(3, makeRecord('a', { startedAtMs: 2 })), 'store', 200, 200);
+		expect(view.records[0]?.isLeaving).to.equal(false);
+	});
+
+	it('does not keep a leaving target that lapsed', () => {
+		const view = new TargetView();
+		view.apply(list(1, makeRecord('a', { isLeaving: true })), 'store', 0, 0);
+		view.apply(list(2), 'store', 8000, 8000);
+		expect(ids(view)).to.deep.equal([]);
+	});
+
+	it('ages by the last confirmation, its own or a peer’s', () => {
+		const view = new TargetView();
+		view.apply(list(1), 'store', 1000, 1010);
+		view.noteVerified(1500);
+		view.noteVerified(1200);
+		expect(view.computeAge(2000)).to.equal(500);
+	});
+});
