--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
 	core: [],
 	platform: ['core'],
 	targets: ['core'],
+	gateway: ['core'],
 	peers: ['core'],
 	callers: ['core'],
 	operators: ['core'],
@@ -53,6 +54,26 @@
 	restrictImports([`packages/${name}/test/**/*.ts`], name, ['stand-ins'], false),
 ]);
 
+const adapterImports = {
+	files: ['platform/**/*.ts'],
+	rules: {
+		'@typescript-eslint/no-restricted-imports': [
+			'error',
+			{
+				patterns: [
+					{
+						group: [
+							...forbiddenPackages('gateway', []).filter((name) => name !== '@papayawell/core'),
+							'@papayawell/*/*',
+						],
+						message: 'The adapter knows the gateway only.',
+					},
+				],
+			},
+		],
+	},
+};
+
 export default tseslint.config(
 	{ ignores: ['**/dist/**', '**/generated/**', 'node_modules/**', '**/*.js', '**/*.mjs'] },
 	...tseslint.configs.strictTypeChecked,
@@ -94,11 +115,12 @@
 		},
 	},
 	{
-		files: ['packages/*/test/**/*.ts'],
+		files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
 		rules: {
 			'@typescript-eslint/no-unused-expressions': 'off',
 			'@typescript-eslint/no-non-null-assertion': 'off',
 		},
 	},
 	...directions,
+	adapterImports,
 );
