--- a/packages/gateway/src/node/boundedWriter.ts
+++ b/packages/gateway/src/node/boundedWriter.ts
@@ -1,58 +1,55 @@
-/** Writes lines to a file descriptor without ever blocking the process: what the reader does not take is dropped. */
-import { write } from 'node:fs';
+/** Writes lines to a stream without ever blocking the process: what the reader does not take is dropped. */
+import { fstatSync } from 'node:fs';
+import { Socket } from 'node:net';
+import type { Writable } from 'node:stream';
 
 /** Bytes that wait for the reader; further lines are dropped. */
 const MAX_PENDING_BYTES = 262_144;
-/** Bytes of one write. */
-const MAX_BATCH_BYTES = 65_536;
-/** Time after which a descriptor that took nothing is tried again. */
-const RETRY_MS = 50;
+const STANDARD_OUTPUT = 1;
+
+/**
+ * Opens standard output for writes that do not wait. The runtime's own stream waits on pipes and sockets, and then a
+ * reader that has stopped also holds up the end of the process.
+ */
+export function openStandardOutput(): Writable {
+	const status = fstatSync(STANDARD_OUTPUT);
+	return status.isFIFO() || status.isSocket()
+		? new Socket({ fd: STANDARD_OUTPUT, readable: false, writable: true })
+		: process.stdout;
+}
 
 export class BoundedWriter {
-	private pending: string[] = [];
-	private pendingBytes = 0;
-	private isWriting = false;
+	private batch: string[] = [];
+	private batchBytes = 0;
 
-	constructor(private readonly descriptor: number) {}
+	constructor(private readonly stream: Writable) {
+		stream.on('error', () => {
+			// The reader is gone; there is nowhere left to say so.
+			this.batch = [];
+		});
+	}
 
 	/** Queues a line; false if it was dropped. */
 	public append(line: string): boolean {
-		if (this.pendingBytes + line.length > MAX_PENDING_BYTES) {
+		if (this.stream.writableLength + this.batchBytes + line.length > MAX_PENDING_BYTES) {
 			return false;
 		}
-		this.pending.push(line);
-		this.pendingBytes += line.length;
-		this.flush();
+		if (this.batch.length === 0) {
+			setImmediate(() => {
+				this.flush();
+			});
+		}
+		this.batch.push(line);
+		this.batchBytes += line.length;
 		return true;
 	}
 
-	private flush(): void {
-		if (this.isWriting || this.pending.length === 0) {
-			return;
+	/** Hands what is queued to the stream now. */
+	public flush(): void {
+		if (this.batch.length > 0 && !this.stream.destroyed) {
+			this.stream.write(this.batch.join(''));
 		}
-		let batch = '';
-		let taken = 0;
-		while (taken < this.pending.length && batch.length < MAX_BATCH_BYTES) {
-			batch += this.pending[taken] ?? '';
-			taken += 1;
-		}
-		this.pending = this.pending.slice(taken);
-		this.isWriting = true;
-		this.writeBatch(Buffer.from(batch), batch.length);
-	}
-
-	private writeBatch(bytes: Buffer, pendingBytes: number): void {
-		write(this.descriptor, bytes, (error, written) => {
-			const left = error === null ? bytes.subarray(written) : bytes;
-			if (left.length === 0 || (error !== null && error.code !== 'EAGAIN')) {
-				this.pendingBytes -= pendingBytes;
-				this.isWriting = false;
-				this.flush();
-				return;
-			}
-			setTimeout(() => {
-				this.writeBatch(left, pendingBytes);
-			}, RETRY_MS).unref();
-		});
+		this.batch = [];
+		this.batchBytes = 0;
 	}
 }
--- a/packages/gateway/src/node/roarrLog.ts
+++ b/packages/gateway/src/node/roarrLog.ts
@@ -2,9 +2,8 @@
 import type { Disposable } from '@papayawell/core';
 import type { EventLog, LogClass, LogFields } from '../common/eventLog.js';
 import { LogBudget } from '../common/logBudget.js';
-import { BoundedWriter } from './boundedWriter.js';
+import { BoundedWriter, openStandardOutput } from './boundedWriter.js';
 
-const STANDARD_OUTPUT = 1;
 /** How often dropped lines are counted in a line of their own. */
 const DROP_REPORT_MS = 5000;
 
@@ -18,7 +17,7 @@
 	// Roarr decides while it is loaded whether it writes at all.
 	process.env.ROARR_LOG ??= 'true';
 	const { Roarr, ROARR } = await import('roarr');
-	const writer = new BoundedWriter(STANDARD_OUTPUT);
+	const writer = new BoundedWriter(openStandardOutput());
 	const budget = new LogBudget();
 	let droppedLines = 0;
 	ROARR.write = (line) => {
@@ -52,6 +51,7 @@
 		},
 		dispose: () => {
 			clearInterval(reporter);
+			writer.flush();
 		},
 	};
 }
