--- a/packages/core/src/common/outcome/suspectBook.ts
+++ b/packages/core/src/common/outcome/suspectBook.ts
@@ -58,6 +58,8 @@
 	private readonly broken = new Map<SuspectRun, number>();
 	private readonly suspicions = new Map<string, Suspicion>();
 	private readonly quarantines = new Map<string, QuarantineFact>();
+	/** When each fingerprint last completed: content that completes is not what crashes targets. */
+	private readonly completions = new Map<string, number>();
 
 	/** `publish` spreads facts to the other routers. */
 	constructor(
@@ -111,6 +113,7 @@
 		switch (end) {
 			case 'completed':
 				this.suspicions.delete(run.fingerprint);
+				this.noteCompleted(run.fingerprint, nowMs);
 				return;
 			case 'broken':
 				this.pruneBroken(nowMs);
@@ -147,7 +150,7 @@
 	public adopt(fact: QuarantineFact | SuspicionFact, nowMs: number): void {
 		switch (fact.kind) {
 			case 'suspicion':
-				if (this.isReleasedAfter(fact)) {
+				if (this.isReleasedAfter(fact) || this.hasCompletedLately(fact.fingerprint, nowMs)) {
 					return;
 				}
 				this.setCrash(fact.fingerprint, fact.target, fact.expiresAtMs);
@@ -181,7 +184,25 @@
 		return known?.expiresAtMs === 0 && known.version >= fact.version;
 	}
 
+	private noteCompleted(fingerprint: string, nowMs: number): void {
+		this.completions.delete(fingerprint);
+		this.completions.set(fingerprint, nowMs);
+		const [oldest] = this.completions;
+		if (oldest !== undefined && nowMs - oldest[1] > this.settings.suspicionMs) {
+			this.completions.delete(oldest[0]);
+		}
+		dropOldest(this.completions);
+	}
+
+	private hasCompletedLately(fingerprint: string, nowMs: number): boolean {
+		const completedAtMs = this.completions.get(fingerprint);
+		return completedAtMs !== undefined && nowMs - completedAtMs <= this.settings.suspicionMs;
+	}
+
 	private addCrash(fingerprint: string, target: string, nowMs: number): void {
+		if (this.hasCompletedLately(fingerprint, nowMs)) {
+			return;
+		}
 		if (this.suspicions.get(fingerprint)?.crashes.has(target)) {
 			return;
 		}
--- a/packages/core/test/common/outcome/suspectBook.test.ts
+++ b/packages/core/test/common/outcome/suspectBook.test.ts
@@ -127,4 +127,42 @@
 			expect(lost).to.equal(2);
 		});
 	}
+
+	it('does not blame content that completes elsewhere for the deaths of its targets', () => {
+		const { books, deliver, facts } = makeFleetParts(2);
+		const [one, other] = books;
+		for (const book of books) {
+			book.end(book.start('hot', makeTarget('sound')), 'completed', 0);
+		}
+		for (const name of ['t1', 't2', 't3']) {
+			one!.start('hot', makeTarget(name));
+			one!.noteTargetDied(makeTarget(name), 100);
+			deliver(100);
+		}
+		expect(facts).to.deep.equal([]);
+		expect([one!.check('hot', 200).kind, other!.check('hot', 200).kind]).to.deep.equal(['clear', 'clear']);
+	});
+
+	it('blames content again when its last completion is long past', () => {
+		const [book] = new TestFleet(1).books;
+		book!.end(book!.start('bad', makeTarget('sound')), 'completed', 0);
+		for (const name of ['t1', 't2']) {
+			book!.start('bad', makeTarget(name));
+			book!.noteTargetDied(makeTarget(name), 1500);
+		}
+		expect(book!.check('bad', 1600).kind).to.equal('quarantined');
+	});
 });
+
+function makeFleetParts(
+	routers: number,
+): Pick<TestFleet, 'books' | 'facts'> & { deliver: (nowMs: number) => void } {
+	const fleet = new TestFleet(routers);
+	return {
+		books: fleet.books,
+		facts: fleet.facts,
+		deliver: (nowMs) => {
+			fleet.deliver(nowMs);
+		},
+	};
+}
