--- a/packages/gateway/src/common/cachePlacement.ts
+++ b/packages/gateway/src/common/cachePlacement.ts
@@ -27,6 +27,10 @@
 /** Tokens that a fetch has to save to be worth its set-up. */
 const MIN_FETCH_TOKENS = 200;
 
+/** Part of the engines that the prompts of one group are placed on. */
+const GROUP_SHARE = 0.34;
+const MIN_GROUP_ENGINES = 2;
+
 export interface CacheRequest {
 	readonly prompt: PromptChain;
 	/** Time to the first event that is aimed at, in ms. */
@@ -92,11 +96,25 @@
 	if (within.length === 0) {
 		return findLowest(allowed, ({ tokensToRead }) => tokensToRead);
 	}
-	const best = Math.max(...within.map(({ cachedTokens }) => cachedTokens));
-	const bestAnywhere = Math.max(...candidates.map(({ cachedTokens }) => cachedTokens));
-	const equal = within.filter(({ cachedTokens }) => cachedTokens === best);
-	const choice = pickByHash(equal, findPlacingHash(chain, best));
-	return choice === undefined ? undefined : { ...choice, isOverflow: best < bestAnywhere };
+	const cached = findMostCached(within);
+	const isSubjectCached = cached.cachedTokens >= countSharedTokens(chain);
+	const choice = isSubjectCached ? cached : pickInGroup(within, candidates.length, chain);
+	return { ...choice, isOverflow: choice.cachedTokens < findMostCached(candidates).cachedTokens };
+}
+
+/** Returns the one that has most of the prompt; of several the one with the lowest load. */
+function findMostCached(candidates: readonly Candidate[]): Candidate {
+	return candidates.reduce((best, candidate) => {
+		const isEqual = candidate.cachedTokens === best.cachedTokens;
+		const isBetter =
+			candidate.cachedTokens > best.cachedTokens || (isEqual && candidate.target.load < best.target.load);
+		return isBetter ? candidate : best;
+	});
+}
+
+/** Returns the tokens of all parts but the last, which is the request's own. */
+function countSharedTokens(chain: PromptChain): number {
+	return countTokens(chain.length > 1 ? chain.slice(0, -1) : chain);
 }
 
 function findSource(sources: readonly TargetState[], prompt: PromptChain): CacheSource | undefined {
@@ -139,31 +157,23 @@
 }
 
 /**
- * Returns the hash by which instances that know the same pick the same engine: that of the first part that is not
- * cached, so that prompts with a common beginning gather.
+ * Places a subject that no engine has: its group, the first part of the prompt, picks some engines, and the subject
+ * picks among these. Instances that know the same pick the same engine, and no group crowds on one.
  */
-function findPlacingHash(chain: PromptChain, cachedTokens: number): number {
-	let sum = 0;
-	for (const { hash, tokens } of chain) {
-		sum += tokens;
-		if (sum > cachedTokens) {
-			return hash;
-		}
-	}
-	return chain.at(-1)?.hash ?? 0;
+function pickInGroup(candidates: readonly Candidate[], engines: number, chain: PromptChain): Candidate {
+	const group = chain[0]?.hash ?? 0;
+	const subject = chain.at(chain.length > 1 ? -2 : -1)?.hash ?? 0;
+	const ranked = [...candidates].sort((a, b) => computeScore(group, b) - computeScore(group, a));
+	const count = Math.max(MIN_GROUP_ENGINES, Math.ceil(engines * GROUP_SHARE));
+	return ranked
+		.slice(0, count)
+		.reduce((best, candidate) =>
+			computeScore(subject, candidate) > computeScore(subject, best) ? candidate : best,
+		);
 }
 
-function pickByHash(candidates: readonly Candidate[], hash: number): Candidate | undefined {
-	let best: Candidate | undefined;
-	let highest = -1;
-	for (const candidate of candidates) {
-		const score = hashPair(hash, candidate.target.nameHash);
-		if (score > highest) {
-			best = candidate;
-			highest = score;
-		}
-	}
-	return best;
+function computeScore(hash: number, { target }: Candidate): number {
+	return hashPair(hash, target.nameHash);
 }
 
 function findLowest(
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -146,36 +146,35 @@
 		}
 	}
 
-	/** Moves a request off a target that has gone silent, where it may be sent again. */
+	/**
+	 * Moves a request off a target that has gone silent, if it may be sent again. Silence alone ends nothing: the
+	 * request stays where it is unless another target and the allowance for a further send are certain.
+	 */
 	public checkSilence(nowMs: number): void {
 		const { attempt } = this;
 		if (attempt === undefined || !attempt.isSent || !attempt.target.isSilent(nowMs)) {
 			return;
 		}
-		if (!isRepeatable(this.input.route) || this.decide(true) === 'fail' || this.decide(true) === 'cut') {
+		const decision = this.decide(true);
+		if (!isRepeatable(this.input.route) || (decision !== 'retry' && decision !== 'resume')) {
+			return;
+		}
+		const { id } = attempt.target.record;
+		const placement = this.choose(new Set([...this.avoided, id]));
+		if (placement === undefined || placement.reason === 'lastResort' || !this.parts.takeRetry(this.service)) {
 			return;
 		}
 		attempt.answer.cancel();
-		this.handleResult({
-			kind: 'failed',
-			failure: 'silent',
-			mayHaveRun: true,
-			detail: 'the target sends nothing',
-		});
+		this.avoided.add(id);
+		this.noteFailed(attempt, 'silent');
+		this.logFailure('silent', 'the target sends nothing', true, decision);
+		if (!this.send(placement)) {
+			this.endUnserved('noConnection', `no further connection to ${placement.target.record.id} is allowed`);
+		}
 	}
 
 	private sendNext(): void {
-		const placement = this.parts.targets.choose(
-			{
-				service: this.service,
-				prompt: this.prompt,
-				objectiveMs: this.input.route.objectiveMs,
-				hasCacheTransfer: this.parts.hasCacheTransfer(this.service),
-				excluded: this.avoided,
-				allowed: this.ranOn.size >= this.input.route.maxAttempts ? this.ranOn : undefined,
-			},
-			performance.now(),
-		);
+		const placement = this.choose(this.avoided);
 		if (placement === undefined) {
 			this.endUnserved('noTarget', `service ${this.service} has no target that takes work`);
 			return;
@@ -185,6 +184,21 @@
 		}
 	}
 
+	private choose(excluded: ReadonlySet<string>): Placement | undefined {
+		const { maxAttempts, objectiveMs } = this.input.route;
+		return this.parts.targets.choose(
+			{
+				service: this.service,
+				prompt: this.prompt,
+				objectiveMs,
+				hasCacheTransfer: this.parts.hasCacheTransfer(this.service),
+				excluded,
+				allowed: this.ranOn.size >= maxAttempts ? this.ranOn : undefined,
+			},
+			performance.now(),
+		);
+	}
+
 	private send(placement: Placement): boolean {
 		const { request, route, customer, body, fingerprint } = this.input;
 		const { target } = placement;
@@ -333,7 +347,16 @@
 		const decision = this.decide(mayHaveRun);
 		const isAgain = decision === 'retry' || decision === 'resume';
 		const hasAllowance = !isAgain || this.sends === 0 || this.parts.takeRetry(this.service);
-		this.parts.metrics.countDecision(hasAllowance ? decision : 'retryDenied');
+		this.logFailure(failure, detail, mayHaveRun, hasAllowance ? decision : 'retryDenied');
+		if (isAgain && hasAllowance) {
+			this.sendNext();
+			return;
+		}
+		this.endUnserved(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
+	}
+
+	private logFailure(failure: string, detail: string, mayHaveRun: boolean, decision: string): void {
+		this.parts.metrics.countDecision(decision);
 		this.parts.log.write('decision', 'attemptFailed', {
 			id: this.input.request.attemptId,
 			target: this.path.at(-1),
@@ -343,13 +366,8 @@
 			runs: this.runs,
 			sends: this.sends,
 			events: this.lastEventId,
-			decision: hasAllowance ? decision : 'retryDenied',
+			decision,
 		});
-		if (isAgain && hasAllowance) {
-			this.sendNext();
-			return;
-		}
-		this.endUnserved(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
 	}
 
 	private decide(mayHaveRun: boolean): ReturnType<typeof decideAfterFailure> {
