Reach the store sooner after a start, and say how long its outage lasts

Ruled out: serving without a configuration; no machine holds one. Also: addresses of other instances go with one datagram in eight.

--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -2,6 +2,8 @@
 
 export type RefusalReason =
 	| 'noConfiguration'
+	/** The same, and the store from which it comes does not answer. */
+	| 'storeLost'
 	| 'noRoute'
 	| 'unknownKey'
 	| 'missingId'
@@ -23,6 +25,8 @@
 
 /** Targets and instances that restart are back within some hundred ms to seconds. */
 const RECOVERY_RETRY_MS = 400;
+/** Outages of the store last some seconds; callers wait at most a third of the time that they have. */
+const OUTAGE_RETRY_MS = 2000;
 /** Another instance takes the request at once. */
 const OTHER_INSTANCE_RETRY_MS = 20;
 /** Requests in flight end within some hundred ms. */
@@ -45,6 +49,8 @@
 			return { status: 400, retryAfterMs: undefined };
 		case 'bodyTooLarge':
 			return { status: 413, retryAfterMs: undefined };
+		case 'storeLost':
+			return { status: 503, retryAfterMs: retryAfter(OUTAGE_RETRY_MS) };
 		case 'noConfiguration':
 		case 'noTarget':
 			return { status: 503, retryAfterMs: retryAfter(RECOVERY_RETRY_MS) };
--- a/packages/gateway/src/node/callersPort.ts
+++ b/packages/gateway/src/node/callersPort.ts
@@ -30,6 +30,8 @@
 	readonly address: string;
 	readonly exchange: ExchangeParts;
 	readonly readInForce: () => GatewayInForce | undefined;
+	/** Whether the store from which the configuration comes does not answer. */
+	readonly hasLostStore: () => boolean;
 }
 
 interface ReadRequest {
@@ -134,7 +136,8 @@
 		const read: ReadRequest = { request, message, answer, receivedAtMs };
 		const inForce = this.options.readInForce();
 		if (this.isRefusing || inForce === undefined) {
-			this.refuse(read, this.isRefusing ? 'draining' : 'noConfiguration', 0);
+			const missing = this.options.hasLostStore() ? 'storeLost' : 'noConfiguration';
+			this.refuse(read, this.isRefusing ? 'draining' : missing, inForce?.configuration.version ?? 0);
 			return;
 		}
 		if (request.attemptId === '') {
--- a/packages/gateway/src/node/configurationFollower.ts
+++ b/packages/gateway/src/node/configurationFollower.ts
@@ -9,6 +9,8 @@
 /** First pause after a failed call; doubles up to the longest. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 1000;
+/** The same while there is no configuration, and nothing can be served. */
+const LONGEST_FIRST_PAUSE_MS = 200;
 /** Part of a pause that is random, so that instances do not call together. */
 const PAUSE_SPREAD = 0.5;
 /** Pause while the store holds no configuration yet. */
@@ -45,6 +47,11 @@
 		}
 	}
 
+	/** Whether the store has failed the last call. */
+	public get hasLostStore(): boolean {
+		return this.isStoreLost;
+	}
+
 	public dispose(): void {
 		this.stopper.abort();
 	}
@@ -74,7 +81,8 @@
 				revision = isCompacted(error) ? undefined : revision;
 				this.noteStore(error);
 				await sleep(pauseMs * (1 - PAUSE_SPREAD * Math.random()));
-				pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+				const longestMs = this.parts.inForce.version === 0 ? LONGEST_FIRST_PAUSE_MS : LONGEST_PAUSE_MS;
+				pauseMs = Math.min(longestMs, pauseMs * 2);
 			}
 		}
 	}
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -15,6 +15,8 @@
 const EAGER_DISCOVER_MS = 1000;
 /** Control addresses that one datagram names. */
 const MAX_NAMED = 40;
+/** One datagram in this many names addresses; they change seldom and are most of its bytes. */
+const NAMING_ROUNDS = 8;
 /** How long an address that never answers is still written to. */
 const CANDIDATE_MS = 30_000;
 /** Errors of the same cause are logged once in this time. */
@@ -38,6 +40,7 @@
 	private readonly stopper = new AbortController();
 	/** Addresses from seeds, the store and peers, each with the time until which it is tried. */
 	private readonly candidates = new Map<string, number>();
+	private rounds = 0;
 	private nextRoundMs = 0;
 	private nextRegisterMs = 0;
 	private nextDiscoverMs = 0;
@@ -90,8 +93,9 @@
 		const state: PeerState = {
 			...this.parts.describeSelf(),
 			instance: this.parts.self,
-			known: known.slice(0, MAX_NAMED),
+			known: this.rounds % NAMING_ROUNDS === 0 ? known.slice(0, MAX_NAMED) : [],
 		};
+		this.rounds += 1;
 		const addresses = new Set(known);
 		for (const [address, untilMs] of this.candidates) {
 			if (nowMs > untilMs) {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -129,6 +129,7 @@
 		this.port = new CallersPort({
 			address: settings.self.callersAddress,
 			readInForce: () => this.inForce.current,
+			hasLostStore: () => this.configurationFollower.hasLostStore,
 			exchange: {
 				codec,
 				targets: this.targets,
--- a/packages/gateway/src/node/targetFollower.ts
+++ b/packages/gateway/src/node/targetFollower.ts
@@ -17,6 +17,8 @@
 /** Pause after a failed read, in ms; doubles up to the longest. */
 const FIRST_PAUSE_MS = 200;
 const LONGEST_PAUSE_MS = 1600;
+/** The same while there is no list, and nothing can be served. */
+const LONGEST_FIRST_PAUSE_MS = 200;
 
 export interface TargetFollowerParts {
 	readonly store: MetadataStore;
@@ -101,7 +103,8 @@
 			this.noteStore(undefined);
 			this.apply(list, 'store', startedAtMs);
 		} catch (error) {
-			this.pauseMs = Math.min(LONGEST_PAUSE_MS, Math.max(FIRST_PAUSE_MS, this.pauseMs * 2));
+			const longestMs = this.parts.view.revision === 0 ? LONGEST_FIRST_PAUSE_MS : LONGEST_PAUSE_MS;
+			this.pauseMs = Math.min(longestMs, Math.max(FIRST_PAUSE_MS, this.pauseMs * 2));
 			this.pausedUntilMs = performance.now() + this.pauseMs;
 			this.noteStore(error);
 		}
