Rename the package of the key-value clients

After: packages/keyvalue; the whole tree builds and the linter is clean. Conclusion: no behaviour changed; an age that is not known yet is left out of the log.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
 /** For each package, the packages it may import. */
 const allowedImports = {
 	core: [],
-	platform: ['core'],
+	keyvalue: ['core'],
 	targets: ['core'],
 	gateway: ['core'],
 	peers: ['core'],
@@ -16,8 +16,8 @@
 	operators: ['core'],
 	'stand-ins': ['core'],
 	replay: ['core'],
-	router: ['core', 'platform', 'targets', 'peers', 'callers', 'operators'],
-	cli: ['core', 'platform', 'targets', 'peers', 'callers', 'operators', 'router', 'stand-ins', 'replay'],
+	router: ['core', 'keyvalue', 'targets', 'peers', 'callers', 'operators'],
+	cli: ['core', 'keyvalue', 'targets', 'peers', 'callers', 'operators', 'router', 'stand-ins', 'replay'],
 };
 
 const enumRule = [
--- a/packages/cli/src/node/commands/rulesContext.ts
+++ b/packages/cli/src/node/commands/rulesContext.ts
@@ -4,7 +4,7 @@
 import { formatFinding } from '@papayawell/core';
 import type { AdminError, FleetStatus, StoreError } from '@papayawell/operators';
 import { AdminClient, ConfigurationStore, describeStoreError, parseSettings } from '@papayawell/operators';
-import { EtcdKeyValueStore } from '@papayawell/platform';
+import { EtcdKeyValueStore } from '@papayawell/keyvalue';
 import { Command, Option, UsageError } from 'clipanion';
 
 const CALLS_PER_SECOND = 50;
--- a/packages/cli/src/node/experiments/config/configExperiment.ts
+++ b/packages/cli/src/node/experiments/config/configExperiment.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { ConfigurationDocument } from '@papayawell/core';
 import { ConfigurationStore } from '@papayawell/operators';
-import { EtcdKeyValueStore } from '@papayawell/platform';
+import { EtcdKeyValueStore } from '@papayawell/keyvalue';
 import { FleetHarness } from '../../harness/fleetHarness.js';
 import { SMALL_FLEET } from '../../harness/fleetPlan.js';
 import { FaultScript, Gate } from './faultScript.js';
--- a/packages/cli/src/node/experiments/config/operatorLoop.ts
+++ b/packages/cli/src/node/experiments/config/operatorLoop.ts
@@ -4,7 +4,7 @@
 import { hashToUnit } from '@papayawell/core';
 import type { StoreError } from '@papayawell/operators';
 import { AdminClient, ConfigurationStore, mergeStatuses } from '@papayawell/operators';
-import { EtcdKeyValueStore } from '@papayawell/platform';
+import { EtcdKeyValueStore } from '@papayawell/keyvalue';
 import type { FleetHarness } from '../../harness/fleetHarness.js';
 import { OPERATOR_TOKEN } from '../../harness/routerProcess.js';
 
--- a/packages/cli/src/node/harness/fleetHarness.ts
+++ b/packages/cli/src/node/harness/fleetHarness.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { ConfigurationStore, describeStoreError } from '@papayawell/operators';
-import { EtcdKeyValueStore } from '@papayawell/platform';
+import { EtcdKeyValueStore } from '@papayawell/keyvalue';
 import type { ApplicationLogEntry, EngineLogEntry } from '@papayawell/stand-ins';
 import type { FleetPlan, PoolPlan } from './fleetPlan.js';
 import { InstanceListProcess, KeyValueProcess } from './platformProcesses.js';
--- a/packages/gateway/src/node/targetFollower.ts
+++ b/packages/gateway/src/node/targetFollower.ts
@@ -139,7 +139,10 @@
 			this.isStoreLost = isLost;
 			this.parts.log.write('state', isLost ? 'storeLost' : 'storeRegained', {
 				user: 'targets',
-				targetsAgeMs: Math.round(this.parts.view.computeAge(performance.now())),
+				targetsAgeMs:
+					this.parts.view.revision === 0
+						? undefined
+						: Math.round(this.parts.view.computeAge(performance.now())),
 				detail: describeError(error),
 			});
 		}
--- a/packages/platform/test/node/etcdKeyValueStore.test.ts
+++ b/packages/keyvalue/test/node/etcdKeyValueStore.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { KeyValueError, KeyValueStore, Result, SwapAnswer, WatchEvent } from '@papayawell/core';
-import { EtcdKeyValueStore } from '@papayawell/platform';
+import { EtcdKeyValueStore } from '@papayawell/keyvalue';
 import type { KeyValueStandIn } from '@papayawell/stand-ins';
 import { startKeyValueStandIn } from '@papayawell/stand-ins';
 
--- a/packages/platform/test/node/instanceListSource.test.ts
+++ b/packages/keyvalue/test/node/instanceListSource.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { InstanceList, ListedRouter, ListedTarget } from '@papayawell/core';
-import type { InstanceListError } from '@papayawell/platform';
-import { decodeInstanceList, HttpInstanceListSource } from '@papayawell/platform';
+import type { InstanceListError } from '@papayawell/keyvalue';
+import { decodeInstanceList, HttpInstanceListSource } from '@papayawell/keyvalue';
 import type { Fault, InstanceListStandIn } from '@papayawell/stand-ins';
 import { startInstanceListStandIn } from '@papayawell/stand-ins';
 
--- a/packages/platform/test/node/recordLedger.test.ts
+++ b/packages/keyvalue/test/node/recordLedger.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { Moment, OnceDecision } from '@papayawell/core';
 import { computeRecordLifetimeMs, hashToUnit } from '@papayawell/core';
-import { EtcdKeyValueStore, PerKeyRecordStore, RecordLease, RecordLedger } from '@papayawell/platform';
+import { EtcdKeyValueStore, PerKeyRecordStore, RecordLease, RecordLedger } from '@papayawell/keyvalue';
 import type { KeyValueStandIn } from '@papayawell/stand-ins';
 import { startKeyValueStandIn } from '@papayawell/stand-ins';
 
--- a/packages/router/src/node/openParts.ts
+++ b/packages/router/src/node/openParts.ts
@@ -10,7 +10,7 @@
 	PerKeyRecordStore,
 	RecordLease,
 	RecordLedger,
-} from '@papayawell/platform';
+} from '@papayawell/keyvalue';
 import type { Logger } from './logger.js';
 
 export function openStore(settings: RouterSettings): EtcdKeyValueStore {
--- a/packages/router/src/node/router.ts
+++ b/packages/router/src/node/router.ts
@@ -10,7 +10,7 @@
 	RouterMetrics,
 } from '@papayawell/operators';
 import type { GrpcPeerNetwork } from '@papayawell/peers';
-import type { EtcdKeyValueStore, HttpInstanceListSource, RecordLedger } from '@papayawell/platform';
+import type { EtcdKeyValueStore, HttpInstanceListSource, RecordLedger } from '@papayawell/keyvalue';
 import { DEFAULT_TARGET_CLIENT_OPTIONS, isRefusingConnections, TargetClient } from '@papayawell/targets';
 import { CallerDirectory } from '../common/callerDirectory.js';
 import { TargetDirectory } from '../common/targetDirectory.js';
--- a/packages/router/src/node/targetWatcher.ts
+++ b/packages/router/src/node/targetWatcher.ts
@@ -2,7 +2,7 @@
 import type { InstanceList, TargetInstance } from '@papayawell/core';
 import { DisposableStore, ListedState, toDisposable } from '@papayawell/core';
 import type { GrpcPeerNetwork } from '@papayawell/peers';
-import type { InstanceListSource } from '@papayawell/platform';
+import type { InstanceListSource } from '@papayawell/keyvalue';
 import type { TargetDirectory } from '../common/targetDirectory.js';
 
 /** Time between two looks at suspect targets and at a list that is not believed yet, in ms. */
--- a/packages/router/test/node/localFleet.ts
+++ b/packages/router/test/node/localFleet.ts
@@ -19,7 +19,7 @@
 	startInstanceListStandIn,
 	startKeyValueStandIn,
 } from '@papayawell/stand-ins';
-import { EtcdKeyValueStore } from '@papayawell/platform';
+import { EtcdKeyValueStore } from '@papayawell/keyvalue';
 import { Agent, request as sendRequest } from 'undici';
 
 export const CALLER_KEY = 'coordinator-key';
