--- a/packages/callers/src/common/requestHeaders.ts
+++ b/packages/callers/src/common/requestHeaders.ts
@@ -1,20 +1,13 @@
 /** Splits the headers of a caller's request into what the router keeps and what goes to the target. */
+import { CONNECTION_HEADERS, parseConnectionNames } from '@papayawell/core';
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1), or that the router sets itself. */
+/** Headers that concern one connection only, or that the router sets itself. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+	...CONNECTION_HEADERS,
 	'authorization',
-	'connection',
 	'content-length',
 	'expect',
 	'host',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
 	'papayawell-request-id',
 	'papayawell-timeout-ms',
 ]);
@@ -25,7 +18,7 @@
 export function selectForwardedHeaders(
 	headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string> {
-	const named = splitNames(headers.connection);
+	const named = parseConnectionNames(headers.connection?.toString());
 	const forwarded: Record<string, string> = {};
 	for (const [name, value] of Object.entries(headers)) {
 		if (value === undefined || DROPPED_HEADERS.has(name) || named.has(name)) {
@@ -51,8 +44,3 @@
 	}
 	return Math.min(Number(value), limitMs);
 }
-
-function splitNames(value: string | string[] | undefined): ReadonlySet<string> {
-	const text = Array.isArray(value) ? value.join(',') : (value ?? '');
-	return new Set(text.split(',').map((name) => name.trim().toLowerCase()));
-}
--- a/packages/gateway/src/node/callerAnswer.ts
+++ b/packages/gateway/src/node/callerAnswer.ts
@@ -1,20 +1,8 @@
 /** Writes one answer to a caller. An answer that cannot be completed is broken off, so that it never looks whole. */
 import type { ServerResponse } from 'node:http';
+import { CONNECTION_HEADERS, parseConnectionNames } from '@papayawell/core';
 import type { ResponseHead } from '../common/responseParser.js';
 
-/** Headers that concern one connection only. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-]);
-
 export class CallerAnswer {
 	private hasHead = false;
 	private isEnded = false;
@@ -83,7 +71,7 @@
 
 	private writeHead(head: ResponseHead, bodyBytes: number | undefined): void {
 		this.hasHead = true;
-		const named = listConnectionTokens(head);
+		const named = parseConnectionNames(head.headers.get('connection'));
 		const headers: string[] = [];
 		for (let index = 0; index + 1 < head.rawHeaders.length; index += 2) {
 			const name = head.rawHeaders[index] ?? '';
@@ -107,8 +95,3 @@
 		this.response.writeHead(head.status, headers);
 	}
 }
-
-function listConnectionTokens(head: ResponseHead): ReadonlySet<string> {
-	const value = head.headers.get('connection');
-	return new Set(value?.split(',').map((token) => token.trim().toLowerCase()));
-}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs, checks format, lints, builds and runs every test.
+# Installs, checks format, lints, builds, runs every test and one short run of the fault soak.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 npm ci --no-audit --no-fund --loglevel=error
@@ -7,3 +7,4 @@
 npm run --silent build
 npm run --silent lint
 npm run --silent test
+node platform/dist/soak/main.js --seed 1 --runs 1 --seconds 5 --gateways 2
