Load what a start does not need after it

Cause: after the loss of all processes nothing is served until they have started; of 0.25 s per start the metrics library and the YAML library took a part before the first request.

--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,8 +1,10 @@
 /** Counters and histograms of one gateway process. */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { Counter, Histogram, Registry } from 'prom-client';
 
 /** Upper bounds of the latency buckets, in seconds: half decades around the objectives of 0.1 s to 2 s. */
 const LATENCY_BUCKETS = [0.01, 0.03, 0.06, 0.1, 0.2, 0.5, 1, 1.5, 2, 4, 6, 15];
+/** Observations that are kept until the library is loaded, at the first scrape or when this many wait. */
+const MAX_WAITING = 5000;
 
 export interface GatewayGauges {
 	readonly configurationVersion: number;
@@ -11,60 +13,138 @@
 	readonly droppedLogLines: number;
 }
 
+/** What a scrape gets. */
+export interface MetricsText {
+	readonly contentType: string;
+	readonly text: string;
+}
+
+type Observation =
+	| { readonly kind: 'end'; readonly route: string; readonly outcome: string }
+	| {
+			readonly kind: 'latency';
+			readonly requestKind: string;
+			readonly stage: string;
+			readonly elapsedMs: number;
+	  }
+	| { readonly kind: 'decision'; readonly event: string };
+
+interface LoadedMetrics {
+	readonly registry: Registry;
+	readonly ended: Counter<'route' | 'outcome'>;
+	readonly latency: Histogram<'kind' | 'stage'>;
+	readonly decisions: Counter<'event'>;
+}
+
+/** Loads its library after the start, since a process that starts again serves nothing meanwhile. */
 export class GatewayMetrics {
-	public readonly registry = new Registry();
-	private readonly ended = new Counter({
-		name: 'papayawell_requests_total',
-		help: 'Requests by route and how they ended.',
-		labelNames: ['route', 'outcome'] as const,
-		registers: [this.registry],
-	});
-	private readonly latency = new Histogram({
-		name: 'papayawell_answer_seconds',
-		help: 'Time from the arrival of a request to its first event or whole answer, by kind and stage.',
-		labelNames: ['kind', 'stage'] as const,
-		buckets: LATENCY_BUCKETS,
-		registers: [this.registry],
-	});
-	private readonly decisions = new Counter({
-		name: 'papayawell_decisions_total',
-		help: 'Decisions by event.',
-		labelNames: ['event'] as const,
-		registers: [this.registry],
-	});
+	private loading: Promise<LoadedMetrics> | undefined;
+	private loaded: LoadedMetrics | undefined;
+	private readonly waiting: Observation[] = [];
 
-	/** @param readGauges is asked at each collection */
-	constructor(readGauges: () => GatewayGauges) {
-		const add = (name: string, help: string, read: (gauges: GatewayGauges) => number): void => {
-			new Gauge({
-				name,
-				help,
-				registers: [this.registry],
-				collect() {
-					this.set(read(readGauges()));
-				},
-			});
-		};
-		add(
-			'papayawell_configuration_version',
-			'Version in force; 0 before the first.',
-			(g) => g.configurationVersion,
-		);
-		add('papayawell_targets_age_seconds', 'Age of the list of targets.', (g) => g.targetsAgeMs / 1000);
-		add('papayawell_peers', 'Other instances heard of.', (g) => g.peers);
-		add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
-	}
+	/** @param readGauges is asked at each scrape */
+	constructor(private readonly readGauges: () => GatewayGauges) {}
 
 	/** Route names come from the configuration, so their number is bounded by it. */
 	public countEnd(route: string, outcome: string): void {
-		this.ended.inc({ route, outcome });
+		this.observe({ kind: 'end', route, outcome });
 	}
 
-	public noteLatency(kind: string, stage: 'first' | 'whole', elapsedMs: number): void {
-		this.latency.observe({ kind, stage }, elapsedMs / 1000);
+	public noteLatency(requestKind: string, stage: 'first' | 'whole', elapsedMs: number): void {
+		this.observe({ kind: 'latency', requestKind, stage, elapsedMs });
 	}
 
 	public countDecision(event: string): void {
-		this.decisions.inc({ event });
+		this.observe({ kind: 'decision', event });
+	}
+
+	/** Renders all metrics in the text format. */
+	public async render(): Promise<MetricsText> {
+		const { registry } = await this.load();
+		return { contentType: registry.contentType, text: await registry.metrics() };
 	}
+
+	private observe(observation: Observation): void {
+		if (this.loaded !== undefined) {
+			recordObservation(this.loaded, observation);
+			return;
+		}
+		this.waiting.push(observation);
+		if (this.waiting.length >= MAX_WAITING) {
+			void this.load();
+		}
+	}
+
+	private load(): Promise<LoadedMetrics> {
+		this.loading ??= createMetrics(this.readGauges).then((loaded) => {
+			this.loaded = loaded;
+			for (const observation of this.waiting.splice(0)) {
+				recordObservation(loaded, observation);
+			}
+			return loaded;
+		});
+		return this.loading;
+	}
+}
+
+function recordObservation(metrics: LoadedMetrics, observation: Observation): void {
+	switch (observation.kind) {
+		case 'end':
+			metrics.ended.inc({ route: observation.route, outcome: observation.outcome });
+			return;
+		case 'latency': {
+			const { requestKind, stage, elapsedMs } = observation;
+			metrics.latency.observe({ kind: requestKind, stage }, elapsedMs / 1000);
+			return;
+		}
+		case 'decision':
+			metrics.decisions.inc({ event: observation.event });
+			return;
+	}
+}
+
+async function createMetrics(readGauges: () => GatewayGauges): Promise<LoadedMetrics> {
+	const { Counter, Gauge, Histogram, Registry } = await import('prom-client');
+	const registry = new Registry();
+	const registers = [registry];
+	const add = (name: string, help: string, read: (gauges: GatewayGauges) => number): void => {
+		new Gauge({
+			name,
+			help,
+			registers,
+			collect() {
+				this.set(read(readGauges()));
+			},
+		});
+	};
+	add(
+		'papayawell_configuration_version',
+		'Version in force; 0 before the first.',
+		(g) => g.configurationVersion,
+	);
+	add('papayawell_targets_age_seconds', 'Age of the list of targets.', (g) => g.targetsAgeMs / 1000);
+	add('papayawell_peers', 'Other instances heard of.', (g) => g.peers);
+	add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
+	return {
+		registry,
+		ended: new Counter({
+			name: 'papayawell_requests_total',
+			help: 'Requests by route and how they ended.',
+			labelNames: ['route', 'outcome'],
+			registers,
+		}),
+		latency: new Histogram({
+			name: 'papayawell_answer_seconds',
+			help: 'Time from the arrival of a request to its first event or whole answer, by kind and stage.',
+			labelNames: ['kind', 'stage'],
+			buckets: LATENCY_BUCKETS,
+			registers,
+		}),
+		decisions: new Counter({
+			name: 'papayawell_decisions_total',
+			help: 'Decisions by event.',
+			labelNames: ['event'],
+			registers,
+		}),
+	};
 }
--- /dev/null
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -0,0 +1,20 @@
+import { expect } from 'chai';
+import { GatewayMetrics } from '../../src/node/gatewayMetrics.js';
+
+describe('GatewayMetrics', () => {
+	it('counts what came before the first scrape, and after it', async () => {
+		const gauges = { configurationVersion: 7, targetsAgeMs: 500, peers: 3, droppedLogLines: 0 };
+		const metrics = new GatewayMetrics(() => gauges);
+		metrics.countEnd('read', 'answered');
+		metrics.noteLatency('idempotent', 'whole', 50);
+		metrics.countDecision('retry');
+		await metrics.render();
+		metrics.countEnd('read', 'answered');
+		const { text } = await metrics.render();
+		expect(text).to.contain('papayawell_requests_total{route="read",outcome="answered"} 2');
+		expect(text).to.contain('papayawell_answer_seconds_bucket{le="0.06",kind="idempotent",stage="whole"} 1');
+		expect(text).to.contain('papayawell_decisions_total{event="retry"} 1');
+		expect(text).to.contain('papayawell_configuration_version 7');
+		expect(text).to.contain('papayawell_targets_age_seconds 0.5');
+	});
+});
