Remove three methods that nothing calls

Cause: the last reading: EventScanner.dropPartialEvent, TargetTable.hasService and ResponseParser.isUntouched had no caller. Before: three unused methods. Conclusion: no behaviour changed.

--- a/packages/gateway/src/common/eventScanner.ts
+++ b/packages/gateway/src/common/eventScanner.ts
@@ -39,12 +39,6 @@
 		return events;
 	}
 
-	/** Forgets a part of an event whose sender is gone. */
-	public dropPartialEvent(): void {
-		this.pending = EMPTY;
-		this.scanned = 0;
-	}
-
 	/** Returns the position after the blank line that ends the first event, or 0. */
 	private findEnd(): number {
 		let position = this.scanned;
--- a/packages/gateway/src/common/responseParser.ts
+++ b/packages/gateway/src/common/responseParser.ts
@@ -56,11 +56,6 @@
 		private readonly handler: ResponseHandler,
 	) {}
 
-	/** Whether no byte of an answer has arrived. */
-	public get isUntouched(): boolean {
-		return this.state.kind === 'head' && this.pending.length === 0;
-	}
-
 	/** Takes the next bytes; returns those that follow a whole answer. Throws a `ResponseFormatError`. */
 	public add(chunk: Buffer): Buffer {
 		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -105,10 +105,6 @@
 		return target.health.failureShare > WORSE_RATIO * mean + WORSE_MARGIN;
 	}
 
-	public hasService(service: string): boolean {
-		return this.byService.has(service);
-	}
-
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
 		const all = this.byService.get(request.service) ?? [];
 		const serving = all.filter(({ record }) => !record.isLeaving);
