Take over what a peer knows of the engines' caches

Cause: an instance that started knew nothing of what engines had cached, and placed subjects on engines that had to read them again. Ruled out: lost datagrams and the cap of 60 news (under 15,000 tokens), engines that left (under 20,000), news on the way (under 12,000). Change: instances tell how many tokens they know to be cached; one that knows much less fetches all of it. The last part of a prompt, which comes back in under 2 in 100 requests, is no longer told unless it is long. What remains is mostly the loss of all instances at once, when there is no peer to ask.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -26,8 +26,10 @@
 	readonly loads: readonly TargetLoadNews[];
 	/** Contents that crash targets: fingerprint, target and expiry of each crash seen. */
 	readonly crashes: readonly CrashNews[];
-	/** Prompts that engines read of late, as far as they were new there. */
+	/** Prompts that engines read of late, as far as shared parts of them were new there. */
 	readonly prompts: readonly PromptNews[];
+	/** Tokens of all shared parts of prompts that it knows engines to have cached. */
+	readonly promptTokens: number;
 	/** Control addresses of other instances, so that each learns of all. */
 	readonly known: readonly string[];
 }
@@ -37,8 +39,8 @@
 
 export interface PromptNews {
 	readonly target: string;
-	/** Hash and tokens of each part in turn. */
-	readonly chain: readonly number[];
+	/** Hash and tokens of each shared part in turn. */
+	readonly links: readonly number[];
 }
 
 export interface CrashNews {
--- a/packages/gateway/src/common/promptCache.ts
+++ b/packages/gateway/src/common/promptCache.ts
@@ -2,7 +2,8 @@
  * What one engine probably has cached, by the prompts that were sent to it. The least recently used parts yield
  * when the engine's memory is full.
  */
-import type { PromptChain } from './promptChain.js';
+import type { ChainLink, PromptChain } from './promptChain.js';
+import { listSharedLinks } from './promptChain.js';
 
 /** Part of an engine's memory that holds cached parts; requests in flight take the rest. */
 const CACHE_SHARE = 0.7;
@@ -10,23 +11,46 @@
 export class PromptCache {
 	/** Tokens by link, least recently used first. */
 	private readonly links = new Map<number, number>();
+	/** Links that other prompts are likely to begin with too. */
+	private readonly shared = new Set<number>();
 	private tokens = 0;
+	private sharedTotal = 0;
 
-	/** Notes that a prompt is read there; returns whether a part of it was not known before. */
+	/** Tokens of the parts that other prompts are likely to share. */
+	public get sharedTokens(): number {
+		return this.sharedTotal;
+	}
+
+	/** Notes that a prompt is read there; returns whether a part that others may share was not known before. */
 	public note(chain: PromptChain, capacityTokens: number): boolean {
-		let isNew = false;
-		for (const { hash, tokens } of chain) {
-			const known = this.links.get(hash);
-			if (known === undefined) {
-				isNew = true;
-				this.tokens += tokens;
-			} else {
-				this.links.delete(hash);
-			}
-			this.links.set(hash, known ?? tokens);
+		const sharedCount = listSharedLinks(chain).length;
+		let isNewShared = false;
+		for (const [index, link] of chain.entries()) {
+			isNewShared = this.add(link, index < sharedCount) || isNewShared;
+		}
+		this.evict(CACHE_SHARE * capacityTokens);
+		return isNewShared;
+	}
+
+	/** Notes shared parts that it has cached; returns the tokens of those that were not known before. */
+	public addShared(links: readonly ChainLink[], capacityTokens: number): number {
+		let addedTokens = 0;
+		for (const link of links) {
+			addedTokens += this.add(link, true) ? link.tokens : 0;
 		}
 		this.evict(CACHE_SHARE * capacityTokens);
-		return isNew;
+		return addedTokens;
+	}
+
+	/** Lists the parts that other prompts are likely to share, least recently used first. */
+	public listShared(): readonly ChainLink[] {
+		const links: ChainLink[] = [];
+		for (const [hash, tokens] of this.links) {
+			if (this.shared.has(hash)) {
+				links.push({ hash, tokens });
+			}
+		}
+		return links;
 	}
 
 	/** Returns how many tokens at the start of the prompt need not be read again. */
@@ -41,6 +65,23 @@
 		return cached;
 	}
 
+	/** Returns whether the link is new among the shared ones. */
+	private add({ hash, tokens }: ChainLink, isShared: boolean): boolean {
+		const known = this.links.get(hash);
+		if (known === undefined) {
+			this.tokens += tokens;
+		} else {
+			this.links.delete(hash);
+		}
+		this.links.set(hash, known ?? tokens);
+		if (!isShared || this.shared.has(hash)) {
+			return false;
+		}
+		this.shared.add(hash);
+		this.sharedTotal += known ?? tokens;
+		return true;
+	}
+
 	private evict(limit: number): void {
 		for (const [hash, tokens] of this.links) {
 			if (this.tokens <= limit) {
@@ -48,6 +89,9 @@
 			}
 			this.links.delete(hash);
 			this.tokens -= tokens;
+			if (this.shared.delete(hash)) {
+				this.sharedTotal -= tokens;
+			}
 		}
 	}
 }
--- a/packages/gateway/src/common/promptChain.ts
+++ b/packages/gateway/src/common/promptChain.ts
@@ -2,6 +2,9 @@
 import { hashPair, hashTextTo32 } from '@papayawell/core';
 import type { PromptPart } from './gatewayRequest.js';
 
+/** The last part of a prompt is mostly asked for once; from this size on, telling other instances of it pays. */
+const LONG_LAST_PART_TOKENS = 1000;
+
 export interface ChainLink {
 	/** Names this part after those before it. */
 	readonly hash: number;
@@ -18,6 +21,12 @@
 	});
 }
 
+/** Lists the links that other prompts are likely to begin with too: all but a short last one. */
+export function listSharedLinks(chain: PromptChain): PromptChain {
+	const last = chain.at(-1);
+	return last === undefined || last.tokens >= LONG_LAST_PART_TOKENS ? chain : chain.slice(0, -1);
+}
+
 export function countTokens(chain: PromptChain): number {
 	return chain.reduce((sum, { tokens }) => sum + tokens, 0);
 }
--- /dev/null
+++ b/packages/gateway/src/common/promptSnapshot.ts
@@ -0,0 +1,71 @@
+/** All that an instance knows of the engines' caches, in one document for an instance that knows less. */
+import type { ChainLink } from './promptChain.js';
+import type { TargetState } from './targetState.js';
+
+/** Hash and tokens, 32 bits each. */
+const LINK_BYTES = 8;
+const TOKENS_OFFSET = 4;
+
+/** The shared parts that one engine has cached. */
+export interface CachedParts {
+	readonly target: string;
+	/** Tells a restart of the engine, which empties its cache. */
+	readonly startedAtMs: number;
+	/** Least recently used first. */
+	readonly links: readonly ChainLink[];
+}
+
+/** Id and start of an engine, and its links in base64. */
+type EncodedParts = readonly [target: string, startedAtMs: number, links: string];
+
+export function encodePromptSnapshot(targets: Iterable<TargetState>): string {
+	const encoded: EncodedParts[] = [];
+	for (const { record, promptCache } of targets) {
+		const links = promptCache.listShared();
+		if (links.length > 0) {
+			encoded.push([record.id, record.startedAtMs, encodeLinks(links)]);
+		}
+	}
+	return JSON.stringify(encoded);
+}
+
+/** Undefined if the text is not a snapshot. */
+export function decodePromptSnapshot(text: string): readonly CachedParts[] | undefined {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch {
+		// The caller reports it.
+		return undefined;
+	}
+	if (!Array.isArray(value) || !value.every(isEncodedParts)) {
+		return undefined;
+	}
+	return value.map(([target, startedAtMs, links]) => ({ target, startedAtMs, links: decodeLinks(links) }));
+}
+
+function encodeLinks(links: readonly ChainLink[]): string {
+	const bytes = Buffer.alloc(links.length * LINK_BYTES);
+	for (const [index, { hash, tokens }] of links.entries()) {
+		bytes.writeUInt32LE(hash >>> 0, index * LINK_BYTES);
+		bytes.writeUInt32LE(tokens, index * LINK_BYTES + TOKENS_OFFSET);
+	}
+	return bytes.toString('base64');
+}
+
+function decodeLinks(text: string): readonly ChainLink[] {
+	const bytes = Buffer.from(text, 'base64');
+	return Array.from({ length: Math.floor(bytes.length / LINK_BYTES) }, (_, index) => ({
+		hash: bytes.readUInt32LE(index * LINK_BYTES),
+		tokens: bytes.readUInt32LE(index * LINK_BYTES + TOKENS_OFFSET),
+	}));
+}
+
+function isEncodedParts(value: unknown): value is EncodedParts {
+	return (
+		Array.isArray(value) &&
+		typeof value[0] === 'string' &&
+		typeof value[1] === 'number' &&
+		typeof value[2] === 'string'
+	);
+}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,8 +6,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { CrashNews, FleetInstance, PeerState, PromptNews, TargetLoadNews } from '../common/peerState.js';
-import type { PromptChain } from '../common/promptChain.js';
+import type { CrashNews, FleetInstance, PeerState, TargetLoadNews } from '../common/peerState.js';
 import { RetryWindow } from '../common/retryWindow.js';
 import type { RetryWindowSettings } from '../common/retryWindow.js';
 import type { TargetRecord } from '../common/targetRecord.js';
@@ -19,6 +18,7 @@
 import { ConfigurationFollower } from './configurationFollower.js';
 import { Fleet } from './fleet.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { PromptFollower } from './promptFollower.js';
 import { Shutdown } from './shutdown.js';
 import { TargetCaller } from './targetCaller.js';
 import { TargetFollower } from './targetFollower.js';
@@ -31,9 +31,6 @@
 const QUARANTINE_MS = 60_000;
 /** Crashes that are told to the other instances. */
 const MAX_CRASH_NEWS = 20;
-/** How long a prompt that is new at an engine is told to the others: two rounds, should one be lost. */
-const PROMPT_NEWS_MS = 700;
-const MAX_PROMPT_NEWS = 60;
 /** Part of a target's connections that the fleet uses; the older system has connections there too. */
 const CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 4;
@@ -92,12 +89,12 @@
 	private readonly shutdown: Shutdown;
 	private readonly configurationFollower: ConfigurationFollower;
 	private readonly targetFollower: TargetFollower;
+	private readonly promptFollower: PromptFollower;
 	private crashNews: {
 		readonly fingerprint: string;
 		readonly target: string;
 		readonly expiresAtMs: number;
 	}[] = [];
-	private promptNews: { readonly news: PromptNews; readonly untilMs: number }[] = [];
 	private digest = 0;
 	private wasServing = false;
 
@@ -147,7 +144,7 @@
 				hasCacheTransfer: (service) =>
 					this.inForce.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
 				notePrompt: (target, prompt) => {
-					this.notePrompt(target, prompt);
+					this.promptFollower.notePlaced(target, prompt, performance.now());
 				},
 				readTargetsAge: () => this.view.computeAge(performance.now()),
 			},
@@ -164,6 +161,7 @@
 			documents: {
 				'/configuration': () => this.inForce.current?.encoded,
 				'/targets': () => this.encodeTargets(),
+				'/prompts': () => this.promptFollower.encodeSnapshot(),
 			},
 		});
 		this.configurationFollower = new ConfigurationFollower({
@@ -182,6 +180,12 @@
 			},
 			fetchFromPeer: async (address) => decodeTargets(await this.fleet.fetch(address, '/targets')),
 		});
+		this.promptFollower = new PromptFollower({
+			targets: this.targets,
+			log,
+			getMemory: (target) => this.getMemory(target),
+			fetchFromPeer: (address) => this.fleet.fetch(address, '/prompts'),
+		});
 		this.shutdown = new Shutdown({
 			port: this.port,
 			log,
@@ -278,7 +282,8 @@
 			targetsAgeMs: this.view.revision === 0 ? 0 : Math.round(this.view.computeAge(nowMs)),
 			targetsDigest: this.digest,
 			loads,
-			prompts: this.listPromptNews(nowMs),
+			prompts: this.promptFollower.listNews(nowMs),
+			promptTokens: this.promptFollower.countKnownTokens(),
 			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
 				fingerprint,
 				target,
@@ -293,39 +298,13 @@
 		this.configurationFollower.notePeerVersion(instance.controlAddress, configurationVersion);
 		const list = { revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
 		this.targetFollower.notePeerList(instance.controlAddress, list, this.digest, nowMs);
-		for (const { target, chain } of state.prompts) {
-			this.adoptPrompt(target, chain);
-		}
+		this.promptFollower.adoptNews(state.prompts);
+		this.promptFollower.notePeer(instance.name, instance.controlAddress, state.promptTokens, nowMs);
 		for (const news of state.crashes) {
 			this.adoptCrash(news, nowMs);
 		}
 	}
 
-	private notePrompt(target: TargetState, prompt: PromptChain): void {
-		if (target.promptCache.note(prompt, this.getMemory(target))) {
-			const chain = prompt.flatMap(({ hash, tokens }) => [hash, tokens]);
-			const news = { target: target.record.id, chain };
-			this.promptNews.push({ news, untilMs: performance.now() + PROMPT_NEWS_MS });
-		}
-	}
-
-	private listPromptNews(nowMs: number): readonly PromptNews[] {
-		this.promptNews = this.promptNews.filter(({ untilMs }) => untilMs > nowMs).slice(-MAX_PROMPT_NEWS);
-		return this.promptNews.map(({ news }) => news);
-	}
-
-	private adoptPrompt(id: string, parts: readonly number[]): void {
-		const target = this.targets.find(id);
-		if (target === undefined) {
-			return;
-		}
-		const chain: { hash: number; tokens: number }[] = [];
-		for (let index = 0; index + 1 < parts.length; index += 2) {
-			chain.push({ hash: parts[index] ?? 0, tokens: parts[index + 1] ?? 0 });
-		}
-		target.promptCache.note(chain, this.getMemory(target));
-	}
-
 	private getMemory(target: TargetState): number {
 		return this.inForce.current?.configuration.services.get(target.record.service)?.memoryTokens ?? 0;
 	}
--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -131,6 +131,7 @@
 		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
+		typeof state.promptTokens === 'number' &&
 		Array.isArray(state.known)
 	);
 }
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -12,6 +12,7 @@
 		targetsDigest: 0,
 		loads: [],
 		prompts: [],
+		promptTokens: 0,
 		crashes: [],
 		known: [],
 	};
