Ask the engines what they have cached when no instance knows

Cause: when all instances are killed or lose power nobody knows what engines have cached. Ruled out: the news of peers (fewer than 20,000 tokens under way), engines that left (12,000 to 55,000). A newcomer's first message is answered at once. The check of the table of events reads all sources now.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -30,6 +30,8 @@
 	readonly prompts: readonly PromptNews[];
 	/** Tokens of all shared parts of prompts that it knows engines to have cached. */
 	readonly promptTokens: number;
+	/** Whether it knows what engines had cached before it started. */
+	readonly knowsPrompts: boolean;
 	/** Control addresses of other instances, so that each learns of all. */
 	readonly known: readonly string[];
 }
--- a/packages/gateway/src/common/promptCache.ts
+++ b/packages/gateway/src/common/promptCache.ts
@@ -2,7 +2,7 @@
  * What one engine probably has cached, by the prompts that were sent to it. The least recently used parts yield
  * when the engine's memory is full.
  */
-import type { ChainLink, PromptChain } from './promptChain.js';
+import type { CachedLink, PromptChain } from './promptChain.js';
 import { listSharedLinks } from './promptChain.js';
 
 /** Part of an engine's memory that holds cached parts; requests in flight take the rest. */
@@ -26,6 +26,7 @@
 		const sharedCount = listSharedLinks(chain).length;
 		let isNewShared = false;
 		for (const [index, link] of chain.entries()) {
+			this.remove(link.partHash);
 			isNewShared = this.add(link, index < sharedCount) || isNewShared;
 		}
 		this.evict(CACHE_SHARE * capacityTokens);
@@ -33,7 +34,7 @@
 	}
 
 	/** Notes shared parts that it has cached; returns the tokens of those that were not known before. */
-	public addShared(links: readonly ChainLink[], capacityTokens: number): number {
+	public addShared(links: readonly CachedLink[], capacityTokens: number): number {
 		let addedTokens = 0;
 		for (const link of links) {
 			addedTokens += this.add(link, true) ? link.tokens : 0;
@@ -43,8 +44,8 @@
 	}
 
 	/** Lists the parts that other prompts are likely to share, least recently used first. */
-	public listShared(): readonly ChainLink[] {
-		const links: ChainLink[] = [];
+	public listShared(): readonly CachedLink[] {
+		const links: CachedLink[] = [];
 		for (const [hash, tokens] of this.links) {
 			if (this.shared.has(hash)) {
 				links.push({ hash, tokens });
@@ -56,8 +57,8 @@
 	/** Returns how many tokens at the start of the prompt need not be read again. */
 	public countCached(chain: PromptChain): number {
 		let cached = 0;
-		for (const { hash, tokens } of chain) {
-			if (!this.links.has(hash)) {
+		for (const { hash, partHash, tokens } of chain) {
+			if (!this.links.has(hash) && !this.links.has(partHash)) {
 				return cached;
 			}
 			cached += tokens;
@@ -66,7 +67,7 @@
 	}
 
 	/** Returns whether the link is new among the shared ones. */
-	private add({ hash, tokens }: ChainLink, isShared: boolean): boolean {
+	private add({ hash, tokens }: CachedLink, isShared: boolean): boolean {
 		const known = this.links.get(hash);
 		if (known === undefined) {
 			this.tokens += tokens;
@@ -82,16 +83,24 @@
 		return true;
 	}
 
+	private remove(hash: number): void {
+		const tokens = this.links.get(hash);
+		if (tokens === undefined) {
+			return;
+		}
+		this.links.delete(hash);
+		this.tokens -= tokens;
+		if (this.shared.delete(hash)) {
+			this.sharedTotal -= tokens;
+		}
+	}
+
 	private evict(limit: number): void {
-		for (const [hash, tokens] of this.links) {
+		for (const hash of this.links.keys()) {
 			if (this.tokens <= limit) {
 				return;
 			}
-			this.links.delete(hash);
-			this.tokens -= tokens;
-			if (this.shared.delete(hash)) {
-				this.sharedTotal -= tokens;
-			}
+			this.remove(hash);
 		}
 	}
 }
--- a/packages/gateway/src/common/promptChain.ts
+++ b/packages/gateway/src/common/promptChain.ts
@@ -5,19 +5,26 @@
 /** The last part of a prompt is mostly asked for once; from this size on, telling other instances of it pays. */
 const LONG_LAST_PART_TOKENS = 1000;
 
-export interface ChainLink {
-	/** Names this part after those before it. */
+/** One part of a prompt that an engine has cached. */
+export interface CachedLink {
+	/** Names the part after those before it, or the part alone if only that is known. */
 	readonly hash: number;
 	readonly tokens: number;
 }
 
+export interface ChainLink extends CachedLink {
+	/** Names the part whatever is before it. */
+	readonly partHash: number;
+}
+
 export type PromptChain = readonly ChainLink[];
 
 export function buildPromptChain(prompt: readonly PromptPart[]): PromptChain {
 	let hash = 0;
 	return prompt.map(({ id, tokens }) => {
-		hash = hashPair(hash, hashTextTo32(id));
-		return { hash, tokens };
+		const partHash = hashPart(id);
+		hash = hashPair(hash, partHash);
+		return { hash, partHash, tokens };
 	});
 }
 
@@ -27,6 +34,10 @@
 	return last === undefined || last.tokens >= LONG_LAST_PART_TOKENS ? chain : chain.slice(0, -1);
 }
 
+export function hashPart(id: string): number {
+	return hashTextTo32(id);
+}
+
 export function countTokens(chain: PromptChain): number {
 	return chain.reduce((sum, { tokens }) => sum + tokens, 0);
 }
--- a/packages/gateway/src/common/promptNews.ts
+++ b/packages/gateway/src/common/promptNews.ts
@@ -1,6 +1,6 @@
 /** Prompts that are new at an engine, for as long as the other instances are told of them. */
 import type { PromptNews } from './peerState.js';
-import type { PromptChain } from './promptChain.js';
+import type { CachedLink, PromptChain } from './promptChain.js';
 import { listSharedLinks } from './promptChain.js';
 
 /** How long each is told: two rounds of messages, should one be lost. */
@@ -23,8 +23,8 @@
 	}
 }
 
-export function readNewsLinks({ links: encoded }: PromptNews): PromptChain {
-	const links: { hash: number; tokens: number }[] = [];
+export function readNewsLinks({ links: encoded }: PromptNews): readonly CachedLink[] {
+	const links: CachedLink[] = [];
 	for (let index = 0; index + 1 < encoded.length; index += 2) {
 		links.push({ hash: encoded[index] ?? 0, tokens: encoded[index + 1] ?? 0 });
 	}
--- a/packages/gateway/src/common/promptSnapshot.ts
+++ b/packages/gateway/src/common/promptSnapshot.ts
@@ -1,5 +1,5 @@
 /** All that an instance knows of the engines' caches, in one document for an instance that knows less. */
-import type { ChainLink } from './promptChain.js';
+import type { CachedLink } from './promptChain.js';
 import type { TargetState } from './targetState.js';
 
 /** Hash and tokens, 32 bits each. */
@@ -12,7 +12,7 @@
 	/** Tells a restart of the engine, which empties its cache. */
 	readonly startedAtMs: number;
 	/** Least recently used first. */
-	readonly links: readonly ChainLink[];
+	readonly links: readonly CachedLink[];
 }
 
 /** Id and start of an engine, and its links in base64. */
@@ -44,7 +44,7 @@
 	return value.map(([target, startedAtMs, links]) => ({ target, startedAtMs, links: decodeLinks(links) }));
 }
 
-function encodeLinks(links: readonly ChainLink[]): string {
+function encodeLinks(links: readonly CachedLink[]): string {
 	const bytes = Buffer.alloc(links.length * LINK_BYTES);
 	for (const [index, { hash, tokens }] of links.entries()) {
 		bytes.writeUInt32LE(hash >>> 0, index * LINK_BYTES);
@@ -53,7 +53,7 @@
 	return bytes.toString('base64');
 }
 
-function decodeLinks(text: string): readonly ChainLink[] {
+function decodeLinks(text: string): readonly CachedLink[] {
 	const bytes = Buffer.from(text, 'base64');
 	return Array.from({ length: Math.floor(bytes.length / LINK_BYTES) }, (_, index) => ({
 		hash: bytes.readUInt32LE(index * LINK_BYTES),
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -89,12 +89,8 @@
 	/** Tells the others at once. */
 	public announce(nowMs: number): void {
 		this.nextRoundMs = nowMs + ROUND_MS;
-		const known = this.peers.listAll().map(({ instance }) => instance.controlAddress);
-		const state: PeerState = {
-			...this.parts.describeSelf(),
-			instance: this.parts.self,
-			known: this.rounds % NAMING_ROUNDS === 0 ? known.slice(0, MAX_NAMED) : [],
-		};
+		const known = this.listPeerAddresses();
+		const state = this.buildState(this.rounds % NAMING_ROUNDS === 0 ? known : []);
 		this.rounds += 1;
 		const addresses = new Set(known);
 		for (const [address, untilMs] of this.candidates) {
@@ -117,6 +113,15 @@
 		this.link.dispose();
 	}
 
+	private listPeerAddresses(): readonly string[] {
+		return this.peers.listAll().map(({ instance }) => instance.controlAddress);
+	}
+
+	/** @param known control addresses that are named to the others */
+	private buildState(known: readonly string[]): PeerState {
+		return { ...this.parts.describeSelf(), instance: this.parts.self, known: known.slice(0, MAX_NAMED) };
+	}
+
 	private handleState(state: PeerState): void {
 		const { name, controlAddress } = state.instance;
 		if (name === this.parts.self.name) {
@@ -130,10 +135,12 @@
 				this.candidates.set(address, nowMs + CANDIDATE_MS);
 			}
 		}
-		if (
-			previous?.instance.incarnation !== state.instance.incarnation ||
-			previous.isServing !== state.isServing
-		) {
+		const isStarted = previous?.instance.incarnation !== state.instance.incarnation;
+		if (isStarted) {
+			// A newcomer waits for news of configuration, targets and prompts.
+			this.link.send(this.buildState(this.listPeerAddresses()), [controlAddress]);
+		}
+		if (isStarted || previous.isServing !== state.isServing) {
 			this.parts.log.write('state', 'peerChanged', {
 				peer: name,
 				incarnation: state.instance.incarnation,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -3,6 +3,7 @@
 import { DisposableStore, hashTextTo32, SuspectBook, toDisposable } from '@papayawell/core';
 import type { SuspectRun } from '@papayawell/core';
 import { ConfigurationInForce } from '../common/configurationInForce.js';
+import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
@@ -50,6 +51,7 @@
 	readonly settings: GatewaySettings;
 	readonly store: MetadataStore;
 	readonly codec: HeaderCodec;
+	readonly engineCodec: EngineCodec;
 	readonly log: EventLog;
 	readonly readDroppedLogLines: () => number;
 }
@@ -184,7 +186,14 @@
 			targets: this.targets,
 			log,
 			getMemory: (target) => this.getMemory(target),
+			codec: dependencies.engineCodec,
 			fetchFromPeer: (address) => this.fleet.fetch(address, '/prompts'),
+			queryTarget: (target, path, timeoutMs, onFailure) =>
+				this.caller.query(target, path, timeoutMs, onFailure),
+			onDidLearn: () => {
+				this.fleet.announce(performance.now());
+			},
+			readOwnRank: () => this.fleet.peers.findOwnRank(performance.now()),
 		});
 		this.shutdown = new Shutdown({
 			port: this.port,
@@ -253,6 +262,9 @@
 		const nowMs = performance.now();
 		this.fleet.tick(nowMs);
 		this.targetFollower.tick(nowMs);
+		if (this.inForce.version > 0 && this.view.revision > 0) {
+			this.promptFollower.tick(nowMs);
+		}
 		this.port.checkSilence(nowMs);
 		this.shutdown.tick(nowMs);
 		this.targets.setPeerLoads(this.fleet.peers.listAll().map(({ loads }) => loads));
@@ -284,6 +296,7 @@
 			loads,
 			prompts: this.promptFollower.listNews(nowMs),
 			promptTokens: this.promptFollower.countKnownTokens(),
+			knowsPrompts: this.promptFollower.knowsPrompts,
 			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
 				fingerprint,
 				target,
@@ -299,7 +312,7 @@
 		const list = { revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
 		this.targetFollower.notePeerList(instance.controlAddress, list, this.digest, nowMs);
 		this.promptFollower.adoptNews(state.prompts);
-		this.promptFollower.notePeer(instance.name, instance.controlAddress, state.promptTokens, nowMs);
+		this.promptFollower.notePeer(state, nowMs);
 		for (const news of state.crashes) {
 			this.adoptCrash(news, nowMs);
 		}
--- a/packages/gateway/src/node/promptFollower.ts
+++ b/packages/gateway/src/node/promptFollower.ts
@@ -1,10 +1,12 @@
 /**
  * Keeps what is known of the engines' caches equal over the instances: tells what is new, and fetches all that a
- * peer knows when it knows much more, as after a start.
+ * peer knows when it knows much more, as after a start. When all instances were lost, one asks the engines.
  */
+import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
-import type { PromptNews } from '../common/peerState.js';
+import type { PeerState, PromptNews } from '../common/peerState.js';
 import type { PromptChain } from '../common/promptChain.js';
+import { hashPart } from '../common/promptChain.js';
 import { PromptNewsList, readNewsLinks } from '../common/promptNews.js';
 import type { CachedParts } from '../common/promptSnapshot.js';
 import { decodePromptSnapshot, encodePromptSnapshot } from '../common/promptSnapshot.js';
@@ -20,21 +22,70 @@
 /** The same after one that did not come. */
 const FAILED_GAP_MS = 500;
 
+/** Time in which an instance that starts hears of peers that know more: they answer its first message at once. */
+const HEAR_PEERS_MS = 200;
+/** Further time that each later rank gives the ranks before it to ask the engines and tell of it. */
+const RANK_STEP_MS = 300;
+const HIGHEST_RANK = 3;
+/** Engines that are asked at once. */
+const MAX_QUERIES = 8;
+/** An engine lists its cache within some ms, more when it is busy. */
+const QUERY_TIMEOUT_MS = 500;
+/** Smaller parts of a list are mostly the last ones of prompts, which do not come back. */
+const MIN_LISTED_TOKENS = 256;
+
 export interface PromptFollowerParts {
 	readonly targets: TargetTable;
 	readonly log: EventLog;
 	/** Returns an engine's memory for prompts in tokens. */
 	readonly getMemory: (target: TargetState) => number;
+	readonly codec: EngineCodec;
 	/** Fetches the snapshot of a peer; undefined if it does not answer. */
 	readonly fetchFromPeer: (controlAddress: string) => Promise<string | undefined>;
+	/** Asks a target for a document; undefined, after a call of `onFailure`, if it does not come. */
+	readonly queryTarget: (
+		target: TargetState,
+		path: string,
+		timeoutMs: number,
+		onFailure: (detail: string) => void,
+	) => Promise<string | undefined>;
+	/** What engines have cached became known, which peers may want to hear. */
+	readonly onDidLearn: () => void;
+	/** Position of this instance among all that serve. */
+	readonly readOwnRank: () => number;
 }
 
+/** What a peer says of its knowledge. */
+export type PeerKnowledge = Pick<PeerState, 'instance' | 'promptTokens' | 'knowsPrompts'>;
+
 export class PromptFollower {
 	private readonly news = new PromptNewsList();
 	private nextFetchMs = 0;
+	/** When the list of targets was first known. */
+	private beganAtMs: number | undefined;
+	private isSettled = false;
+	private isAsking = false;
 
 	constructor(private readonly parts: PromptFollowerParts) {}
 
+	/** Whether it knows what engines had cached before this instance started. */
+	public get knowsPrompts(): boolean {
+		return this.isSettled;
+	}
+
+	/** Called often once the list of targets is known: asks the engines if no peer knows what they have cached. */
+	public tick(nowMs: number): void {
+		if (this.isSettled || this.isAsking) {
+			return;
+		}
+		this.beganAtMs ??= nowMs;
+		const rank = Math.min(HIGHEST_RANK, this.parts.readOwnRank());
+		if (nowMs - this.beganAtMs >= HEAR_PEERS_MS + rank * RANK_STEP_MS) {
+			this.isAsking = true;
+			void this.askEngines();
+		}
+	}
+
 	/** Tokens of all shared parts that engines are known to have cached. */
 	public countKnownTokens(): number {
 		let tokens = 0;
@@ -68,20 +119,22 @@
 	}
 
 	/** Notes how much a peer knows; fetches it if that is much more than is known here. */
-	public notePeer(name: string, controlAddress: string, peerTokens: number, nowMs: number): void {
+	public notePeer({ instance, knowsPrompts, promptTokens }: PeerKnowledge, nowMs: number): void {
 		const enough = this.countKnownTokens() * MUCH_MORE_FACTOR + MUCH_MORE_TOKENS;
-		if (peerTokens <= enough || nowMs < this.nextFetchMs) {
+		const isMore = promptTokens > enough || (knowsPrompts && !this.isSettled);
+		if (!isMore || nowMs < this.nextFetchMs) {
 			return;
 		}
 		this.nextFetchMs = Infinity;
-		void this.fetch(name, controlAddress);
+		void this.fetch(instance.name, instance.controlAddress, knowsPrompts);
 	}
 
-	private async fetch(name: string, controlAddress: string): Promise<void> {
+	private async fetch(name: string, controlAddress: string, knowsPrompts: boolean): Promise<void> {
 		const text = await this.parts.fetchFromPeer(controlAddress);
 		const snapshot = text === undefined ? undefined : decodePromptSnapshot(text);
 		const gapMs = snapshot === undefined ? FAILED_GAP_MS : SNAPSHOT_GAP_MS;
 		this.nextFetchMs = performance.now() + gapMs;
+		this.isSettled ||= snapshot !== undefined && knowsPrompts;
 		const addedTokens = snapshot?.reduce((sum, parts) => sum + this.adopt(parts), 0);
 		this.parts.log.write('state', snapshot === undefined ? 'promptsNotFetched' : 'promptsFetched', {
 			peer: name,
@@ -90,6 +143,42 @@
 		});
 	}
 
+	private async askEngines(): Promise<void> {
+		const engines = [...this.parts.targets.all].filter((target) => this.parts.getMemory(target) > 0);
+		const waiting = engines.values();
+		let addedTokens = 0;
+		const askInTurn = async (): Promise<void> => {
+			for (const engine of waiting) {
+				const tokens = await this.askEngine(engine);
+				addedTokens += tokens;
+			}
+		};
+		await Promise.all(Array.from({ length: MAX_QUERIES }, askInTurn));
+		this.isSettled = true;
+		this.parts.log.write('state', 'promptsListed', { engines: engines.length, addedTokens });
+		this.parts.onDidLearn();
+	}
+
+	private async askEngine(engine: TargetState): Promise<number> {
+		const { codec, queryTarget, log, getMemory } = this.parts;
+		const reportFailure = (detail: string): void => {
+			log.write('state', 'promptsNotListed', { target: engine.record.id, detail });
+		};
+		const text = await queryTarget(engine, codec.cacheListPath, QUERY_TIMEOUT_MS, reportFailure);
+		if (text === undefined) {
+			return 0;
+		}
+		const parts = codec.decodeCacheList(text);
+		if (parts === undefined) {
+			reportFailure('the list cannot be read');
+			return 0;
+		}
+		const links = parts
+			.filter(({ tokens }) => tokens >= MIN_LISTED_TOKENS)
+			.map(({ id, tokens }) => ({ hash: hashPart(id), tokens }));
+		return engine.promptCache.addShared(links, getMemory(engine));
+	}
+
 	private adopt({ target, startedAtMs, links }: CachedParts): number {
 		const state = this.parts.targets.find(target);
 		if (state?.record.startedAtMs !== startedAtMs) {
--- /dev/null
+++ b/packages/gateway/src/node/targetQuery.ts
@@ -0,0 +1,74 @@
+/** A call of the gateway's own to a target: asks for a document and reads it whole. */
+import type { ResponseHead } from '../common/responseParser.js';
+import type { ConnectionFailure, ConnectionListener, TargetConnection } from './targetConnection.js';
+
+const HTTP_OK = 200;
+
+/**
+ * Asks for a document.
+ * @returns its text; undefined, after a call of `onFailure`, if it does not come within `timeoutMs`
+ */
+export function queryTarget(
+	connection: TargetConnection,
+	host: string,
+	path: string,
+	timeoutMs: number,
+	onFailure: (detail: string) => void,
+): Promise<string | undefined> {
+	return new Promise((resolve) => {
+		const query = new TargetQuery(connection, timeoutMs, resolve, onFailure);
+		query.send(host, path);
+	});
+}
+
+class TargetQuery implements ConnectionListener {
+	private readonly parts: Buffer[] = [];
+	private readonly timer: NodeJS.Timeout;
+	private head: ResponseHead | undefined;
+
+	constructor(
+		private readonly connection: TargetConnection,
+		timeoutMs: number,
+		private readonly resolve: (text: string | undefined) => void,
+		private readonly reportFailure: (detail: string) => void,
+	) {
+		this.timer = setTimeout(() => {
+			this.connection.close();
+			this.fail(`no answer within ${timeoutMs} ms`);
+		}, timeoutMs);
+	}
+
+	public send(host: string, path: string): void {
+		const head = Buffer.from(`GET ${path} HTTP/1.1\r\nHost: ${host}\r\n\r\n`, 'latin1');
+		this.connection.send('GET', [head], () => true, this);
+	}
+
+	public onHead(head: ResponseHead): void {
+		this.head = head;
+	}
+
+	public onBody(chunk: Buffer): void {
+		this.parts.push(chunk);
+	}
+
+	public onEnd(): boolean {
+		const status = this.head?.status;
+		if (status === HTTP_OK) {
+			clearTimeout(this.timer);
+			this.resolve(Buffer.concat(this.parts).toString('utf8'));
+		} else {
+			this.fail(`HTTP ${status ?? 'without a head'}`);
+		}
+		return true;
+	}
+
+	public onFailure(_failure: ConnectionFailure, message: string): void {
+		this.fail(message);
+	}
+
+	private fail(detail: string): void {
+		clearTimeout(this.timer);
+		this.reportFailure(detail);
+		this.resolve(undefined);
+	}
+}
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -13,6 +13,7 @@
 		loads: [],
 		prompts: [],
 		promptTokens: 0,
+		knowsPrompts: false,
 		crashes: [],
 		known: [],
 	};
--- a/packages/gateway/test/node/boundedWriter.test.ts
+++ b/packages/gateway/test/node/boundedWriter.test.ts
@@ -1,5 +1,5 @@
 import { spawn } from 'node:child_process';
-import { readFileSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 
@@ -48,19 +48,10 @@
 describe('docs/OPERATIONS.md', () => {
 	it('lists each event that the sources write, and no other', () => {
 		const root = fileURLToPath(new URL('../../../../../', import.meta.url));
-		const sources = [
-			'node/exchange',
-			'node/callersPort',
-			'node/gateway',
-			'node/fleet',
-			'node/shutdown',
-			'node/roarrLog',
-			'node/configurationFollower',
-			'node/targetFollower',
-		]
-			.map((name) => `packages/gateway/src/${name}.ts`)
-			.concat(['platform/src/main.ts', 'platform/src/storeClient.ts'])
-			.map((file) => readFileSync(`${root}${file}`, 'utf8'))
+		const sources = ['packages/gateway/src/node', 'platform/src']
+			.flatMap((folder) => readdirSync(`${root}${folder}`).map((file) => `${root}${folder}/${file}`))
+			.filter((file) => file.endsWith('.ts'))
+			.map((file) => readFileSync(file, 'utf8'))
 			.join('\n');
 		const calls =
 			sources.match(
--- a/packages/gateway/test/node/promptFollower.test.ts
+++ b/packages/gateway/test/node/promptFollower.test.ts
@@ -1,8 +1,10 @@
 /** Loads that shared knowledge of the engines' caches answers, each named by its pattern. */
 import { expect } from 'chai';
+import type { PromptPart } from '../../src/common/gatewayRequest.js';
 import type { PromptChain } from '../../src/common/promptChain.js';
 import { buildPromptChain } from '../../src/common/promptChain.js';
 import { TargetTable } from '../../src/common/targetTable.js';
+import type { PeerKnowledge } from '../../src/node/promptFollower.js';
 import { PromptFollower } from '../../src/node/promptFollower.js';
 import { makeRecord } from '../common/fixtures.js';
 
@@ -13,9 +15,27 @@
 	readonly targets: TargetTable;
 	readonly follower: PromptFollower;
 	readonly events: string[];
+	/** Engines that were asked for what they have cached. */
+	readonly asked: string[];
 }
 
-function startInstance(fetchFromPeer: () => Promise<string | undefined>, startedAtMs = 1): Instance {
+interface InstanceOptions {
+	readonly fetchFromPeer?: () => Promise<string | undefined>;
+	/** Start of the engines. */
+	readonly startedAtMs?: number;
+	readonly rank?: number;
+	/** What engines answer when they are asked for what they have cached: rows of id and tokens. */
+	readonly lists?: ReadonlyMap<string, string>;
+}
+
+function startInstance(options: InstanceOptions = {}): Instance {
+	const {
+		fetchFromPeer = tellNothing,
+		startedAtMs = 1,
+		rank = 0,
+		lists = new Map<string, string>(),
+	} = options;
+	const asked: string[] = [];
 	const targets = new TargetTable('a');
 	const added = ENGINES.map((id) => makeRecord(id, { startedAtMs }));
 	targets.apply({ added, changed: [], removed: [] });
@@ -28,9 +48,42 @@
 			},
 		},
 		getMemory: () => MEMORY,
+		codec: { cacheListPath: '/list', decodeCacheList },
 		fetchFromPeer,
+		queryTarget: (target) => {
+			asked.push(target.record.id);
+			return Promise.resolve(lists.get(target.record.id));
+		},
+		onDidLearn: () => undefined,
+		readOwnRank: () => rank,
 	});
-	return { targets, follower, events };
+	return { targets, follower, events, asked };
+}
+
+function tellNothing(): Promise<undefined> {
+	return Promise.resolve(undefined);
+}
+
+function decodeCacheList(body: string): readonly PromptPart[] | undefined {
+	return body === '' ? undefined : (JSON.parse(body) as PromptPart[]);
+}
+
+/** What a peer says of itself. */
+function describePeer(promptTokens: number, knowsPrompts = true): PeerKnowledge {
+	const instance = {
+		name: 'peer',
+		incarnation: '1',
+		zone: 'a',
+		callersAddress: '127.0.0.1:1',
+		controlAddress: '127.0.0.1:2',
+	};
+	return { instance, promptTokens, knowsPrompts };
+}
+
+async function settle(): Promise<void> {
+	for (let turn = 0; turn < 20; turn++) {
+		await Promise.resolve();
+	}
 }
 
 function makePrompt(subject: number, own: string): PromptChain {
@@ -57,11 +110,9 @@
 	return placement?.target.record.id;
 }
 
-const tellNothing = (): Promise<undefined> => Promise.resolve(undefined);
-
 describe('PromptFollower', () => {
 	it('rolling restart: an instance that starts sends each subject where it is cached', async () => {
-		const old = startInstance(tellNothing);
+		const old = startInstance();
 		// Engines under load when the subjects were placed: not where an instance without knowledge looks for them.
 		const busy = ENGINES.slice(0, 2).map((id) => old.targets.find(id));
 		for (const target of busy) {
@@ -69,57 +120,128 @@
 			target?.noteSent(0, 0);
 		}
 		const places = Array.from({ length: 20 }, (_, subject) => place(old, makePrompt(subject, 'a')));
-		const started = startInstance(() => Promise.resolve(old.follower.encodeSnapshot()));
-		started.follower.notePeer('old', 'x', old.follower.countKnownTokens(), 0);
-		await Promise.resolve();
-		await Promise.resolve();
+		const started = startInstance({
+			fetchFromPeer: () => Promise.resolve(old.follower.encodeSnapshot()),
+		});
+		started.follower.notePeer(describePeer(old.follower.countKnownTokens()), 0);
+		await settle();
 		for (const [subject, engine] of places.entries()) {
 			expect(place(started, makePrompt(subject, 'b'))).to.equal(engine);
 		}
 		expect(started.events).to.deep.equal(['promptsFetched']);
 	});
 
-	it('equal knowledge: fetches nothing', () => {
+	it('equal knowledge: fetches nothing', async () => {
 		let fetches = 0;
-		const one = startInstance(() => {
-			fetches += 1;
-			return tellNothing();
+		const one = startInstance({
+			fetchFromPeer: () => {
+				fetches += 1;
+				return tellNothing();
+			},
 		});
+		one.follower.tick(0);
+		one.follower.tick(1000);
+		await settle();
 		for (let subject = 0; subject < 20; subject++) {
 			place(one, makePrompt(subject, 'a'));
 		}
-		one.follower.notePeer('other', 'x', one.follower.countKnownTokens() + 9000, 0);
+		one.follower.notePeer(describePeer(one.follower.countKnownTokens() + 9000), 0);
 		expect(fetches).to.equal(0);
 	});
 
 	it('an engine that started again has nothing of what a peer says of its former life', async () => {
-		const old = startInstance(tellNothing);
+		const old = startInstance();
 		place(old, makePrompt(1, 'a'));
 		place(old, makePrompt(2, 'a'));
-		const started = startInstance(() => Promise.resolve(old.follower.encodeSnapshot()), 2);
-		started.follower.notePeer('old', 'x', 100_000, 0);
-		await Promise.resolve();
-		await Promise.resolve();
+		const started = startInstance({
+			fetchFromPeer: () => Promise.resolve(old.follower.encodeSnapshot()),
+			startedAtMs: 2,
+		});
+		started.follower.notePeer(describePeer(100_000), 0);
+		await settle();
 		expect(started.follower.countKnownTokens()).to.equal(0);
 	});
 
 	it('a snapshot that cannot be read changes nothing and is logged', async () => {
-		const one = startInstance(() => Promise.resolve('[["engine-0"]]'));
-		one.follower.notePeer('other', 'x', 100_000, 0);
-		await Promise.resolve();
-		await Promise.resolve();
+		const one = startInstance({ fetchFromPeer: () => Promise.resolve('[["engine-0"]]') });
+		one.follower.notePeer(describePeer(100_000), 0);
+		await settle();
 		expect(one.events).to.deep.equal(['promptsNotFetched']);
 		expect(one.follower.countKnownTokens()).to.equal(0);
 	});
 
 	it('many requests for known subjects: tells the peers nothing new', () => {
-		const one = startInstance(tellNothing);
+		const one = startInstance();
 		for (let request = 0; request < 30; request++) {
 			place(one, makePrompt(1, `own-${request}`));
 		}
 		expect(one.follower.listNews(0)).to.have.lengthOf(1);
-		const other = startInstance(tellNothing);
+		const other = startInstance();
 		other.follower.adoptNews(one.follower.listNews(0));
 		expect(other.follower.countKnownTokens()).to.equal(8500);
 	});
+
+	it('loss of all instances: the first one asks the engines and finds each subject again', async () => {
+		const list = JSON.stringify([
+			{ id: 'group', tokens: 2500 },
+			{ id: 'subject-1', tokens: 6000 },
+			{ id: 'own', tokens: 100 },
+		]);
+		const lists = new Map([['engine-3', list]]);
+		const one = startInstance({ lists });
+		one.follower.tick(0);
+		one.follower.tick(199);
+		expect(one.asked).to.deep.equal([]);
+		one.follower.tick(200);
+		await settle();
+		expect(one.asked).to.have.members(ENGINES);
+		expect(one.events).to.deep.equal(['promptsListed']);
+		expect(one.follower.countKnownTokens()).to.equal(8500);
+		expect(place(one, makePrompt(1, 'a'))).to.equal('engine-3');
+		expect(one.follower.countKnownTokens()).to.equal(8500);
+	});
+
+	it('loss of all instances: the later ones take what the first one found', async () => {
+		const first = startInstance({
+			lists: new Map([['engine-2', JSON.stringify([{ id: 'group', tokens: 2500 }])]]),
+		});
+		first.follower.tick(0);
+		first.follower.tick(200);
+		await settle();
+		const second = startInstance({
+			rank: 1,
+			fetchFromPeer: () => Promise.resolve(first.follower.encodeSnapshot()),
+		});
+		second.follower.tick(0);
+		second.follower.tick(400);
+		second.follower.notePeer(describePeer(2500, first.follower.knowsPrompts), 450);
+		await settle();
+		second.follower.tick(5000);
+		await settle();
+		expect(second.asked).to.deep.equal([]);
+		expect(second.follower.countKnownTokens()).to.equal(2500);
+	});
+
+	it('loss of all instances: a later one asks when the first one does not', async () => {
+		const second = startInstance({ rank: 1 });
+		second.follower.tick(0);
+		second.follower.tick(499);
+		expect(second.asked).to.deep.equal([]);
+		second.follower.tick(500);
+		await settle();
+		expect(second.asked).to.have.members(ENGINES);
+	});
+
+	it('an engine whose list cannot be read leaves the others known', async () => {
+		const lists = new Map([
+			['engine-0', ''],
+			['engine-1', JSON.stringify([{ id: 'group', tokens: 2500 }])],
+		]);
+		const one = startInstance({ lists });
+		one.follower.tick(0);
+		one.follower.tick(200);
+		await settle();
+		expect(one.events).to.deep.equal(['promptsNotListed', 'promptsListed']);
+		expect(one.follower.countKnownTokens()).to.equal(2500);
+	});
 });
