Call the store less often around starts

Change: before the first configuration an instance waits for it in one watch; only the first six instances keep an entry, 1 s after the start at the earliest; entries are listed every 20 s once a peer is known.

--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -5,6 +5,8 @@
 const QUIET_MS = 1500;
 /** After this long without a message, nothing that an instance said counts any more. */
 const GONE_MS = 4000;
+/** Instances that keep an entry in the store; whoever finds one of them learns of all. */
+const REGISTRARS = 6;
 /** How long the number of instances is remembered, so that shares of common limits do not jump. */
 const COUNT_MEMORY_MS = 20_000;
 
@@ -64,6 +66,11 @@
 		return this.highestCount;
 	}
 
+	/** Whether this instance keeps an entry in the store, for instances that start and know nobody. */
+	public isRegistrar(nowMs: number): boolean {
+		return this.findOwnRank(nowMs) < REGISTRARS;
+	}
+
 	/** Position of this instance among all by name: the first one reads the store for the others. */
 	public findOwnRank(nowMs: number): number {
 		let rank = 0;
--- a/packages/gateway/src/node/configurationFollower.ts
+++ b/packages/gateway/src/node/configurationFollower.ts
@@ -13,7 +13,7 @@
 const LONGEST_FIRST_PAUSE_MS = 200;
 /** Part of a pause that is random, so that instances do not call together. */
 const PAUSE_SPREAD = 0.5;
-/** Pause while the store holds no configuration yet. */
+/** Pause while the store holds no configuration yet and does not tell its revision. */
 const ABSENT_PAUSE_MS = 150;
 /** Time that the store's own news gets before a peer is asked for a newer version than the one in force. */
 const PEER_FETCH_DELAY_MS = 100;
@@ -108,7 +108,8 @@
 		if (answer.read !== undefined) {
 			inForce.offer(answer.read, 'store');
 		}
-		if (revision === undefined && answer.read === undefined) {
+		if (answer.revision === 0) {
+			// Without the store's revision there is nothing to watch from.
 			await sleep(ABSENT_PAUSE_MS);
 			return undefined;
 		}
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -10,8 +10,10 @@
 const ROUND_MS = 300;
 /** How often the own entry in the store is renewed; its lease lasts 10 s. */
 const REGISTER_MS = 4000;
+/** Time after the start in which an instance hears of its rank. */
+const FIRST_REGISTER_MS = 1000;
 /** How often the entries of the others are read, and while none is known. */
-const DISCOVER_MS = 10_000;
+const DISCOVER_MS = 20_000;
 const EAGER_DISCOVER_MS = 1000;
 /** Control addresses that one datagram names. */
 const MAX_NAMED = 40;
@@ -77,8 +79,11 @@
 			this.announce(nowMs);
 		}
 		if (nowMs >= this.nextRegisterMs) {
-			this.nextRegisterMs = nowMs + REGISTER_MS;
-			void this.renewEntry();
+			const isStarting = this.nextRegisterMs === 0;
+			this.nextRegisterMs = nowMs + (isStarting ? FIRST_REGISTER_MS : REGISTER_MS);
+			if (!isStarting && this.peers.isRegistrar(nowMs)) {
+				void this.renewEntry();
+			}
 		}
 		if (nowMs >= this.nextDiscoverMs) {
 			this.nextDiscoverMs = nowMs + (this.peers.listAll().length === 0 ? EAGER_DISCOVER_MS : DISCOVER_MS);
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -37,6 +37,15 @@
 		expect(table.findOwnRank(1600)).to.equal(0);
 	});
 
+	it('large fleet: the first six keep an entry, and the next ones once some of these went quiet', () => {
+		const table = new PeerTable('z');
+		for (const name of ['a', 'b', 'c', 'd', 'e', 'f']) {
+			table.note(makeState(name), name === 'f' ? 1000 : 0);
+		}
+		expect(table.isRegistrar(1000)).to.equal(false);
+		expect(table.isRegistrar(2000)).to.equal(true);
+	});
+
 	it('remembers how many share the common limits when some go quiet', () => {
 		const table = new PeerTable('b');
 		table.note(makeState('a'), 0);
--- a/packages/gateway/test/node/configurationFollower.test.ts
+++ b/packages/gateway/test/node/configurationFollower.test.ts
@@ -56,6 +56,24 @@
 		expect(performance.now() - startedAtMs).to.be.at.least(99);
 	});
 
+	it('start before the first configuration: waits for it in one call', async () => {
+		const watched: number[] = [];
+		let reads = 0;
+		startFollower(0, {
+			...makeSilentStore(),
+			readConfiguration: () => {
+				reads += 1;
+				return Promise.resolve({ read: undefined, revision: 5 });
+			},
+			watchConfiguration: (revision) => {
+				watched.push(revision);
+				return new Promise(() => undefined);
+			},
+		}).follower.start();
+		await new Promise((resolve) => setImmediate(resolve));
+		expect([reads, watched]).to.deep.equal([1, [5]]);
+	});
+
 	it('large fleet: only the first two instances watch in short calls', async () => {
 		const waits: number[] = [];
 		for (const rank of [0, 1, 2, 30]) {
