Keep fleets on shared addresses apart

Ruled out: the address of the store as the name of a fleet, since each process of the soak reaches the store by a proxy of its own, and a wrong name would split a fleet. Change: an optional fleet name in the settings goes with each message; messages of other fleets are dropped and logged once an address.

Instances that hear one asking wait up to 2 s for it; ranks count all instances that were heard, not only those that serve.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -1,7 +1,19 @@
 /** What the instances of the fleet tell each other all the time. */
 
+export const PromptKnowledge = {
+	/** Only what was placed since. */
+	Own: 'own',
+	/** It asks the engines. */
+	Asking: 'asking',
+	/** What the engines or a peer told. */
+	Full: 'full',
+} as const;
+export type PromptKnowledge = (typeof PromptKnowledge)[keyof typeof PromptKnowledge];
+
 /** One instance of the fleet. */
 export interface FleetInstance {
+	/** Name of its fleet; instances of other fleets are not listened to. Empty where there is only one. */
+	readonly fleet: string;
 	readonly name: string;
 	/** Changes with each start. */
 	readonly incarnation: string;
@@ -30,8 +42,8 @@
 	readonly prompts: readonly PromptNews[];
 	/** Tokens of all shared parts of prompts that it knows engines to have cached. */
 	readonly promptTokens: number;
-	/** Whether it knows what engines had cached before it started. */
-	readonly knowsPrompts: boolean;
+	/** What it knows of the parts that engines had cached before it started. */
+	readonly promptKnowledge: PromptKnowledge;
 	/** Control addresses of other instances, so that each learns of all. */
 	readonly known: readonly string[];
 }
--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -71,14 +71,23 @@
 		return this.findOwnRank(nowMs) < REGISTRARS;
 	}
 
-	/** Position of this instance among all by name: the first one reads the store for the others. */
+	/** Position of this instance by name among those that serve: the first one reads the store for the others. */
 	public findOwnRank(nowMs: number): number {
-		let rank = 0;
+		return this.countBefore(nowMs, ({ isServing }) => isServing);
+	}
+
+	/** Position of this instance by name among all that were heard of late. */
+	public findRankAmongAll(nowMs: number): number {
+		return this.countBefore(nowMs, () => true);
+	}
+
+	private countBefore(nowMs: number, isCounted: (state: PeerState) => boolean): number {
+		let count = 0;
 		for (const [name, { state, heardAtMs }] of this.peers) {
-			if (state.isServing && nowMs - heardAtMs <= QUIET_MS && name < this.ownName) {
-				rank += 1;
+			if (nowMs - heardAtMs <= QUIET_MS && name < this.ownName && isCounted(state)) {
+				count += 1;
 			}
 		}
-		return rank;
+		return count;
 	}
 }
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -42,6 +42,8 @@
 	private readonly stopper = new AbortController();
 	/** Addresses from seeds, the store and peers, each with the time until which it is tried. */
 	private readonly candidates = new Map<string, number>();
+	/** Control addresses at which instances of other fleets were heard, so that each is logged once. */
+	private readonly foreignAddresses = new Set<string>();
 	private rounds = 0;
 	private nextRoundMs = 0;
 	private nextRegisterMs = 0;
@@ -128,7 +130,11 @@
 	}
 
 	private handleState(state: PeerState): void {
-		const { name, controlAddress } = state.instance;
+		const { fleet, name, controlAddress } = state.instance;
+		if (fleet !== this.parts.self.fleet) {
+			this.noteForeign(state.instance);
+			return;
+		}
 		if (name === this.parts.self.name) {
 			return;
 		}
@@ -156,6 +162,15 @@
 		this.parts.onPeer(state, previous);
 	}
 
+	/** An address may have passed to another fleet, whose lists mean nothing here. */
+	private noteForeign({ fleet, name, controlAddress }: FleetInstance): void {
+		this.candidates.delete(controlAddress);
+		if (!this.foreignAddresses.has(controlAddress)) {
+			this.foreignAddresses.add(controlAddress);
+			this.parts.log.write('state', 'foreignPeer', { peer: name, fleet, controlAddress });
+		}
+	}
+
 	private async renewEntry(): Promise<void> {
 		const { store, self } = this.parts;
 		try {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -190,10 +190,10 @@
 			codec: dependencies.engineCodec,
 			fetchFromPeer: (address) => this.fleet.fetch(address, '/prompts'),
 			askTarget: (target, path, timeoutMs, onFailure) => this.caller.ask(target, path, timeoutMs, onFailure),
-			onDidLearn: () => {
+			onDidChangeKnowledge: () => {
 				this.fleet.announce(performance.now());
 			},
-			readOwnRank: () => this.fleet.peers.findOwnRank(performance.now()),
+			readOwnRank: () => this.fleet.peers.findRankAmongAll(performance.now()),
 		});
 		this.shutdown = new Shutdown({
 			port: this.port,
@@ -308,7 +308,7 @@
 			loads,
 			prompts: this.promptFollower.listNews(nowMs),
 			promptTokens: this.promptFollower.countKnownTokens(),
-			knowsPrompts: this.promptFollower.knowsPrompts,
+			promptKnowledge: this.promptFollower.knowledge,
 			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
 				fingerprint,
 				target,
--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -132,7 +132,7 @@
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
 		typeof state.promptTokens === 'number' &&
-		typeof state.knowsPrompts === 'boolean' &&
+		typeof state.promptKnowledge === 'string' &&
 		Array.isArray(state.known)
 	);
 }
--- a/packages/gateway/src/node/promptFollower.ts
+++ b/packages/gateway/src/node/promptFollower.ts
@@ -5,6 +5,7 @@
 import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { PeerState, PromptNews } from '../common/peerState.js';
+import { PromptKnowledge } from '../common/peerState.js';
 import type { PromptChain } from '../common/promptChain.js';
 import { hashPart } from '../common/promptChain.js';
 import { PromptNewsList, readNewsLinks } from '../common/promptNews.js';
@@ -26,9 +27,11 @@
 
 /** Time in which an instance that starts hears of peers that know more: they answer its first message at once. */
 const HEAR_PEERS_MS = 50;
-/** Further time that each later rank gives the ranks before it to ask the engines and tell of it. */
+/** Further time that each later rank gives the ranks before it to tell that they ask the engines. */
 const RANK_STEP_MS = 150;
-const HIGHEST_RANK = 3;
+const HIGHEST_RANK = 20;
+/** Time that a peer gets that asks the engines; some hundred of them answer within a second. */
+const ASKING_PATIENCE_MS = 2000;
 /** Engines that are asked at once. */
 const MAX_QUERIES = 8;
 /** An engine lists its cache within some ms, more when it is busy. */
@@ -51,14 +54,14 @@
 		timeoutMs: number,
 		onFailure: (detail: string) => void,
 	) => Promise<string | undefined>;
-	/** What engines have cached became known, which peers may want to hear. */
-	readonly onDidLearn: () => void;
-	/** Position of this instance among all that serve. */
+	/** Peers may want to hear at once that this instance asks the engines, or knows their caches. */
+	readonly onDidChangeKnowledge: () => void;
+	/** Position of this instance among all. */
 	readonly readOwnRank: () => number;
 }
 
 /** What a peer says of its knowledge. */
-export type PeerKnowledge = Pick<PeerState, 'instance' | 'promptTokens' | 'knowsPrompts'>;
+export type PeerKnowledge = Pick<PeerState, 'instance' | 'promptTokens' | 'promptKnowledge'>;
 
 export class PromptFollower {
 	private readonly news = new PromptNewsList();
@@ -67,19 +70,20 @@
 	private beganAtMs: number | undefined;
 	/** The last peer that knew what engines had cached. */
 	private knowingPeer: PeerKnowledge | undefined;
-	private isSettled = false;
-	private isAsking = false;
+	private ownKnowledge: PromptKnowledge = PromptKnowledge.Own;
+	/** Until then a peer that asks the engines is waited for. */
+	private peerAsksUntilMs = -Infinity;
 
 	constructor(private readonly parts: PromptFollowerParts) {}
 
-	/** Whether it knows what engines had cached before this instance started. */
-	public get knowsPrompts(): boolean {
-		return this.isSettled;
+	/** What is known of the parts that engines had cached before this instance started. */
+	public get knowledge(): PromptKnowledge {
+		return this.ownKnowledge;
 	}
 
 	/** Called often once configuration and targets are known: asks the engines if no peer knows their caches. */
 	public tick(nowMs: number): void {
-		if (this.isSettled || this.isAsking) {
+		if (this.ownKnowledge !== PromptKnowledge.Own) {
 			return;
 		}
 		if (this.beganAtMs === undefined) {
@@ -89,8 +93,9 @@
 			}
 		}
 		const rank = Math.min(HIGHEST_RANK, this.parts.readOwnRank());
-		if (nowMs - this.beganAtMs >= HEAR_PEERS_MS + rank * RANK_STEP_MS) {
-			this.isAsking = true;
+		const dueAtMs = this.beganAtMs + HEAR_PEERS_MS + rank * RANK_STEP_MS;
+		if (nowMs >= Math.max(dueAtMs, this.peerAsksUntilMs)) {
+			this.setKnowledge(PromptKnowledge.Asking);
 			void this.askEngines();
 		}
 	}
@@ -129,24 +134,30 @@
 
 	/** Notes how much a peer knows; fetches it if that is much more than is known here. */
 	public notePeer(peer: PeerKnowledge, nowMs: number): void {
-		const { instance, knowsPrompts, promptTokens } = peer;
+		const { instance, promptKnowledge, promptTokens } = peer;
+		const isInformed = promptKnowledge === PromptKnowledge.Full;
+		if (promptKnowledge === PromptKnowledge.Asking) {
+			this.peerAsksUntilMs = nowMs + ASKING_PATIENCE_MS;
+		}
 		if (this.beganAtMs === undefined) {
-			this.knowingPeer = knowsPrompts ? peer : this.knowingPeer;
+			this.knowingPeer = isInformed ? peer : this.knowingPeer;
 			return;
 		}
 		const enough = this.countKnownTokens() * MUCH_MORE_FACTOR + MUCH_MORE_TOKENS;
-		const isMore = promptTokens > enough || (knowsPrompts && !this.isSettled);
+		const isMore = promptTokens > enough || (isInformed && this.ownKnowledge === PromptKnowledge.Own);
 		if (!isMore || nowMs < this.nextFetchMs) {
 			return;
 		}
 		this.nextFetchMs = Infinity;
-		void this.fetch(instance.name, instance.controlAddress, knowsPrompts);
+		void this.fetch(instance.name, instance.controlAddress, isInformed);
 	}
 
-	private async fetch(name: string, controlAddress: string, knowsPrompts: boolean): Promise<void> {
+	private async fetch(name: string, controlAddress: string, isInformed: boolean): Promise<void> {
 		const text = await this.parts.fetchFromPeer(controlAddress);
 		const snapshot = text === undefined ? undefined : decodePromptSnapshot(text);
-		this.isSettled ||= snapshot !== undefined && knowsPrompts;
+		if (snapshot !== undefined && isInformed && this.ownKnowledge === PromptKnowledge.Own) {
+			this.setKnowledge(PromptKnowledge.Full);
+		}
 		const addedTokens = snapshot?.reduce((sum, parts) => sum + this.adopt(parts), 0);
 		this.nextFetchMs = performance.now() + chooseGap(addedTokens);
 		this.parts.log.write('state', snapshot === undefined ? 'promptsNotFetched' : 'promptsFetched', {
@@ -167,9 +178,13 @@
 			}
 		};
 		await Promise.all(Array.from({ length: MAX_QUERIES }, askInTurn));
-		this.isSettled = true;
 		this.parts.log.write('state', 'promptsListed', { engines: engines.length, addedTokens });
-		this.parts.onDidLearn();
+		this.setKnowledge(PromptKnowledge.Full);
+	}
+
+	private setKnowledge(knowledge: PromptKnowledge): void {
+		this.ownKnowledge = knowledge;
+		this.parts.onDidChangeKnowledge();
 	}
 
 	private async askEngine(engine: TargetState): Promise<number> {
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -4,7 +4,14 @@
 
 function makeState(name: string, isServing = true): PeerState {
 	return {
-		instance: { name, incarnation: '1', zone: 'a', callersAddress: `${name}:1`, controlAddress: `${name}:2` },
+		instance: {
+			fleet: '',
+			name,
+			incarnation: '1',
+			zone: 'a',
+			callersAddress: `${name}:1`,
+			controlAddress: `${name}:2`,
+		},
 		isServing,
 		configurationVersion: 1,
 		targetsRevision: 1,
@@ -13,7 +20,7 @@
 		loads: [],
 		prompts: [],
 		promptTokens: 0,
-		knowsPrompts: false,
+		promptKnowledge: 'own' as const,
 		crashes: [],
 		known: [],
 	};
--- a/packages/gateway/test/node/promptFollower.test.ts
+++ b/packages/gateway/test/node/promptFollower.test.ts
@@ -1,6 +1,7 @@
 /** Loads that shared knowledge of the engines' caches answers, each named by its pattern. */
 import { expect } from 'chai';
 import type { PromptPart } from '../../src/common/gatewayRequest.js';
+import type { PromptKnowledge } from '../../src/common/peerState.js';
 import type { PromptChain } from '../../src/common/promptChain.js';
 import { buildPromptChain } from '../../src/common/promptChain.js';
 import { TargetTable } from '../../src/common/targetTable.js';
@@ -54,7 +55,7 @@
 			asked.push(target.record.id);
 			return Promise.resolve(lists.get(target.record.id));
 		},
-		onDidLearn: () => undefined,
+		onDidChangeKnowledge: () => undefined,
 		readOwnRank: () => rank,
 	});
 	return { targets, follower, events, asked };
@@ -69,15 +70,16 @@
 }
 
 /** What a peer says of itself. */
-function describePeer(promptTokens: number, knowsPrompts = true): PeerKnowledge {
+function describePeer(promptTokens: number, promptKnowledge: PromptKnowledge = 'full'): PeerKnowledge {
 	const instance = {
+		fleet: '',
 		name: 'peer',
 		incarnation: '1',
 		zone: 'a',
 		callersAddress: '127.0.0.1:1',
 		controlAddress: '127.0.0.1:2',
 	};
-	return { instance, promptTokens, knowsPrompts };
+	return { instance, promptTokens, promptKnowledge };
 }
 
 async function settle(): Promise<void> {
@@ -217,7 +219,7 @@
 		});
 		second.follower.tick(0);
 		second.follower.tick(190);
-		second.follower.notePeer(describePeer(2500, first.follower.knowsPrompts), 195);
+		second.follower.notePeer(describePeer(2500, first.follower.knowledge), 195);
 		await settle();
 		second.follower.tick(5000);
 		await settle();
@@ -235,6 +237,18 @@
 		expect(second.asked).to.have.members(ENGINES);
 	});
 
+	it('loss of a large fleet: while one asks many engines the others wait for it', async () => {
+		const late = startInstance({ rank: 2 });
+		late.follower.notePeer(describePeer(0, 'asking'), 0);
+		late.follower.tick(0);
+		late.follower.tick(1900);
+		await settle();
+		expect(late.asked).to.deep.equal([]);
+		late.follower.tick(2000);
+		await settle();
+		expect(late.asked).to.have.members(ENGINES);
+	});
+
 	it('an engine whose list cannot be read leaves the others known', async () => {
 		const lists = new Map([
 			['engine-0', ''],
@@ -259,10 +273,10 @@
 		one.follower.notePeer(describePeer(100_000), 0);
 		await settle();
 		expect(fetches).to.equal(0);
-		expect(one.follower.knowsPrompts).to.equal(false);
+		expect(one.follower.knowledge).to.equal('own');
 		one.follower.tick(10);
 		await settle();
 		expect(fetches).to.equal(1);
-		expect(one.follower.knowsPrompts).to.equal(true);
+		expect(one.follower.knowledge).to.equal('full');
 	});
 });
