--- a/packages/gateway/src/node/promptFollower.ts
+++ b/packages/gateway/src/node/promptFollower.ts
@@ -143,8 +143,9 @@
 			this.knowingPeer = isInformed ? peer : this.knowingPeer;
 			return;
 		}
-		const enough = this.countKnownTokens() * MUCH_MORE_FACTOR + MUCH_MORE_TOKENS;
-		const isMore = promptTokens > enough || (isInformed && this.ownKnowledge === PromptKnowledge.Own);
+		// Before it is informed itself, an instance waits for a peer that is: the others know as little.
+		const isMore =
+			this.ownKnowledge === PromptKnowledge.Own ? isInformed : promptTokens > this.computeMuchMore();
 		if (!isMore || nowMs < this.nextFetchMs) {
 			return;
 		}
@@ -152,14 +153,18 @@
 		void this.fetch(instance.name, instance.controlAddress, isInformed);
 	}
 
+	private computeMuchMore(): number {
+		return this.countKnownTokens() * MUCH_MORE_FACTOR + MUCH_MORE_TOKENS;
+	}
+
 	private async fetch(name: string, controlAddress: string, isInformed: boolean): Promise<void> {
 		const text = await this.parts.fetchFromPeer(controlAddress);
 		const snapshot = text === undefined ? undefined : decodePromptSnapshot(text);
+		const addedTokens = snapshot?.reduce((sum, parts) => sum + this.adopt(parts), 0);
+		this.nextFetchMs = performance.now() + chooseGap(addedTokens);
 		if (snapshot !== undefined && isInformed && this.ownKnowledge === PromptKnowledge.Own) {
 			this.setKnowledge(PromptKnowledge.Full);
 		}
-		const addedTokens = snapshot?.reduce((sum, parts) => sum + this.adopt(parts), 0);
-		this.nextFetchMs = performance.now() + chooseGap(addedTokens);
 		this.parts.log.write('state', snapshot === undefined ? 'promptsNotFetched' : 'promptsFetched', {
 			peer: name,
 			engines: snapshot?.length,
--- a/packages/gateway/test/node/promptFollower.test.ts
+++ b/packages/gateway/test/node/promptFollower.test.ts
@@ -249,6 +249,25 @@
 		expect(late.asked).to.have.members(ENGINES);
 	});
 
+	it('loss of a large fleet: takes what the first one found, whatever others know since', async () => {
+		const first = startInstance({
+			lists: new Map([['engine-2', JSON.stringify([{ id: 'group', tokens: 2500 }])]]),
+		});
+		first.follower.tick(0);
+		first.follower.tick(50);
+		await settle();
+		const late = startInstance({
+			rank: 9,
+			fetchFromPeer: () => Promise.resolve(first.follower.encodeSnapshot()),
+		});
+		late.follower.tick(0);
+		late.follower.notePeer(describePeer(60_000, 'own'), 100);
+		await settle();
+		late.follower.notePeer(describePeer(2500, 'full'), 110);
+		await settle();
+		expect(late.follower.knowledge).to.equal('full');
+	});
+
 	it('an engine whose list cannot be read leaves the others known', async () => {
 		const lists = new Map([
 			['engine-0', ''],
