--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -49,10 +49,12 @@
 
 	public async listen(): Promise<void> {
 		const { host, port } = splitAddress(this.options.address);
-		await new Promise<void>((resolve) => {
+		await new Promise<void>((resolve, reject) => {
+			this.socket.once('error', reject);
 			this.socket.bind(port, host, resolve);
 		});
-		await new Promise<void>((resolve) => {
+		await new Promise<void>((resolve, reject) => {
+			this.server.once('error', reject);
 			this.server.listen(port, host, resolve);
 		});
 	}
