Let each instance of a large fleet hear of all others

Cause: a datagram named the first 40 known addresses, always the same ones, so in a fleet of 100 the others never learned of each other but from the seeds; and with 24 receivers picked at random a round, a quarter of the peers looked quiet at any moment (0.76 to the power of 5 rounds), so directories left them out and several instances took themselves for the reader of the store. Change: addresses are named in samples that differ; receivers are taken in turn; the times after which an instance counts as quiet or gone follow the time between its messages. Fleets of up to 25 are as before.

--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -1,10 +1,14 @@
 /** The other instances of the fleet, as their messages show them. */
+import { computeMessageGap } from './messagePace.js';
 import type { PeerState } from './peerState.js';
 
 /** Messages come several times a second; an instance that is quiet for longer is not offered to callers. */
 const QUIET_MS = 1500;
+/** The same in messages that did not come, for fleets so large that they come less often. */
+const QUIET_GAPS = 2.5;
 /** After this long without a message, nothing that an instance said counts any more. */
 const GONE_MS = 4000;
+const GONE_GAPS = 5;
 /** Instances that keep an entry in the store; whoever finds one of them learns of all. */
 const REGISTRARS = 6;
 /** How long the number of instances is remembered, so that shares of common limits do not jump. */
@@ -36,8 +40,9 @@
 	/** Forgets the instances that have been quiet for long and returns what they last said. */
 	public expire(nowMs: number): readonly PeerState[] {
 		const expired: PeerState[] = [];
+		const goneMs = Math.max(GONE_MS, GONE_GAPS * computeMessageGap(this.peers.size));
 		for (const [name, { state, heardAtMs }] of this.peers) {
-			if (nowMs - heardAtMs > GONE_MS) {
+			if (nowMs - heardAtMs > goneMs) {
 				this.peers.delete(name);
 				expired.push(state);
 			}
@@ -51,8 +56,9 @@
 
 	/** Lists the instances to which callers may be sent. */
 	public listServing(nowMs: number): readonly PeerState[] {
+		const quietMs = this.computeQuietTime();
 		return [...this.peers.values()]
-			.filter(({ state, heardAtMs }) => state.isServing && nowMs - heardAtMs <= QUIET_MS)
+			.filter(({ state, heardAtMs }) => state.isServing && nowMs - heardAtMs <= quietMs)
 			.map(({ state }) => state);
 	}
 
@@ -81,10 +87,15 @@
 		return this.countBefore(nowMs, () => true);
 	}
 
+	private computeQuietTime(): number {
+		return Math.max(QUIET_MS, QUIET_GAPS * computeMessageGap(this.peers.size));
+	}
+
 	private countBefore(nowMs: number, isCounted: (state: PeerState) => boolean): number {
+		const quietMs = this.computeQuietTime();
 		let count = 0;
 		for (const [name, { state, heardAtMs }] of this.peers) {
-			if (nowMs - heardAtMs <= QUIET_MS && name < this.ownName && isCounted(state)) {
+			if (nowMs - heardAtMs <= quietMs && name < this.ownName && isCounted(state)) {
 				count += 1;
 			}
 		}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** Public interface of the gateway package: the serving path of routes. */
 export { CONNECTION_HEADERS, parseConnectionNames } from '@papayawell/core';
+export { sampleAddresses } from './common/addressSample.js';
 export type { EngineCodec } from './common/engineCodec.js';
 export type { EventLog, LogClass, LogFields } from './common/eventLog.js';
 export * from './common/gatewayConfiguration.js';
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -1,13 +1,13 @@
 /** This instance's place in the fleet: finds the others, tells them what it believes and hears what they do. */
 import type { Disposable } from '@papayawell/core';
+import { sampleAddresses } from '../common/addressSample.js';
 import type { EventLog } from '../common/eventLog.js';
+import { ROUND_MS } from '../common/messagePace.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, PeerState } from '../common/peerState.js';
 import { PeerTable } from '../common/peerTable.js';
 import { PeerLink } from './peerLink.js';
 
-/** Time between two rounds of datagrams. */
-const ROUND_MS = 300;
 /** How often the own entry in the store is renewed; its lease lasts 10 s. */
 const REGISTER_MS = 4000;
 /** Time after the start in which an instance hears of its rank. */
@@ -126,7 +126,11 @@
 
 	/** @param known control addresses that are named to the others */
 	private buildState(known: readonly string[]): PeerState {
-		return { ...this.parts.describeSelf(), instance: this.parts.self, known: known.slice(0, MAX_NAMED) };
+		return {
+			...this.parts.describeSelf(),
+			instance: this.parts.self,
+			known: sampleAddresses(known, MAX_NAMED, Math.random()),
+		};
 	}
 
 	private handleState(state: PeerState): void {
--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -7,10 +7,9 @@
 import { createServer, get } from 'node:http';
 import type { Server } from 'node:http';
 import type { Disposable } from '@papayawell/core';
+import { FAN_OUT } from '../common/messagePace.js';
 import type { PeerState } from '../common/peerState.js';
 
-/** Instances that one datagram round goes to; in larger fleets each round picks others. */
-const MAX_FAN_OUT = 24;
 /** A fetch from a peer in the same region. */
 const FETCH_TIMEOUT_MS = 800;
 /** Datagrams above this are not sent: they would be split on the way. */
@@ -28,6 +27,7 @@
 export class PeerLink implements Disposable {
 	private readonly socket: Socket;
 	private readonly server: Server;
+	private turn = 0;
 
 	constructor(private readonly options: PeerLinkOptions) {
 		this.socket = createSocket('udp4');
@@ -66,7 +66,7 @@
 			this.options.onError(`a state of ${bytes.length} bytes is too large to send`);
 			return;
 		}
-		for (const address of sampleAddresses(addresses, MAX_FAN_OUT)) {
+		for (const address of this.takeInTurn(addresses)) {
 			const { host, port } = splitAddress(address);
 			this.socket.send(bytes, port, host, (error) => {
 				if (error !== null) {
@@ -105,6 +105,16 @@
 		this.server.closeAllConnections();
 	}
 
+	/** In a large fleet each round goes on where the last one ended. */
+	private takeInTurn(addresses: readonly string[]): readonly string[] {
+		if (addresses.length <= FAN_OUT) {
+			return addresses;
+		}
+		const start = this.turn % addresses.length;
+		this.turn = start + FAN_OUT;
+		return [...addresses.slice(start), ...addresses.slice(0, start)].slice(0, FAN_OUT);
+	}
+
 	private handleMessage(bytes: Buffer): void {
 		let state: unknown;
 		try {
@@ -143,15 +153,3 @@
 	const colon = address.lastIndexOf(':');
 	return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
-
-function sampleAddresses(addresses: readonly string[], count: number): readonly string[] {
-	if (addresses.length <= count) {
-		return addresses;
-	}
-	const start = Math.floor(Math.random() * addresses.length);
-	const step = addresses.length / count;
-	return Array.from(
-		{ length: count },
-		(_, index) => addresses[Math.floor(start + index * step) % addresses.length],
-	).filter((address) => address !== undefined);
-}
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -44,6 +44,15 @@
 		expect(table.findOwnRank(1600)).to.equal(0);
 	});
 
+	it('fleet of 100: instances that are heard every 1.5 s stay on offer, and those that died do not', () => {
+		const table = new PeerTable('z');
+		for (let index = 0; index < 100; index++) {
+			table.note(makeState(`a${index}`), index < 50 ? 0 : 2500);
+		}
+		expect(table.listServing(3000)).to.have.lengthOf(100);
+		expect(table.listServing(4000)).to.have.lengthOf(50);
+	});
+
 	it('large fleet: the first six keep an entry, and the next ones once some of these went quiet', () => {
 		const table = new PeerTable('z');
 		for (const name of ['a', 'b', 'c', 'd', 'e', 'f']) {
