--- a/packages/gateway/src/node/promptFollower.ts
+++ b/packages/gateway/src/node/promptFollower.ts
@@ -66,6 +66,7 @@
 export class PromptFollower {
 	private readonly news = new PromptNewsList();
 	private nextFetchMs = 0;
+	private isFetching = false;
 	/** When configuration and targets were first known. Before, nothing can be taken over. */
 	private beganAtMs: number | undefined;
 	/** The last peer that knew what engines had cached. */
@@ -83,7 +84,7 @@
 
 	/** Called often once configuration and targets are known: asks the engines if no peer knows their caches. */
 	public tick(nowMs: number): void {
-		if (this.ownKnowledge !== PromptKnowledge.Own) {
+		if (this.ownKnowledge !== PromptKnowledge.Own || this.isFetching) {
 			return;
 		}
 		if (this.beganAtMs === undefined) {
@@ -146,10 +147,10 @@
 		// Before it is informed itself, an instance waits for a peer that is: the others know as little.
 		const isMore =
 			this.ownKnowledge === PromptKnowledge.Own ? isInformed : promptTokens > this.computeMuchMore();
-		if (!isMore || nowMs < this.nextFetchMs) {
+		if (!isMore || this.isFetching || nowMs < this.nextFetchMs) {
 			return;
 		}
-		this.nextFetchMs = Infinity;
+		this.isFetching = true;
 		void this.fetch(instance.name, instance.controlAddress, isInformed);
 	}
 
@@ -159,6 +160,7 @@
 
 	private async fetch(name: string, controlAddress: string, isInformed: boolean): Promise<void> {
 		const text = await this.parts.fetchFromPeer(controlAddress);
+		this.isFetching = false;
 		const snapshot = text === undefined ? undefined : decodePromptSnapshot(text);
 		const addedTokens = snapshot?.reduce((sum, parts) => sum + this.adopt(parts), 0);
 		this.nextFetchMs = performance.now() + chooseGap(addedTokens);
--- a/packages/gateway/test/node/promptFollower.test.ts
+++ b/packages/gateway/test/node/promptFollower.test.ts
@@ -268,6 +268,26 @@
 		expect(late.follower.knowledge).to.equal('full');
 	});
 
+	it('rolling restart on slow links: asks no engine while a peer is about to tell', async () => {
+		let tell: (text: string | undefined) => void = () => undefined;
+		const started = startInstance({
+			fetchFromPeer: () =>
+				new Promise((resolve) => {
+					tell = resolve;
+				}),
+		});
+		started.follower.tick(0);
+		started.follower.notePeer(describePeer(100_000), 0);
+		started.follower.tick(700);
+		await settle();
+		expect(started.asked).to.deep.equal([]);
+		tell(undefined);
+		await settle();
+		started.follower.tick(800);
+		await settle();
+		expect(started.asked).to.have.members(ENGINES);
+	});
+
 	it('an engine whose list cannot be read leaves the others known', async () => {
 		const lists = new Map([
 			['engine-0', ''],
