Name other instances in each message of the first seconds

Cause: after the loss of all instances each knows the seeds only, and addresses were named in one message of eight (every 2.4 s).

--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -19,6 +19,8 @@
 const MAX_NAMED = 40;
 /** One datagram in this many names addresses; they change seldom and are most of its bytes. */
 const NAMING_ROUNDS = 8;
+/** After a start each of these names some: all may have started, and know the seeds only. */
+const FIRST_NAMING_ROUNDS = 8;
 /** How long an address that never answers is still written to. */
 const CANDIDATE_MS = 30_000;
 /** Errors of the same cause are logged once in this time. */
@@ -97,7 +99,8 @@
 	public announce(nowMs: number): void {
 		this.nextRoundMs = nowMs + ROUND_MS;
 		const known = this.listPeerAddresses();
-		const state = this.buildState(this.rounds % NAMING_ROUNDS === 0 ? known : []);
+		const isNaming = this.rounds < FIRST_NAMING_ROUNDS || this.rounds % NAMING_ROUNDS === 0;
+		const state = this.buildState(isNaming ? known : []);
 		this.rounds += 1;
 		const addresses = new Set(known);
 		for (const [address, untilMs] of this.candidates) {
