--- a/packages/gateway/test/node/promptFollower.test.ts
+++ b/packages/gateway/test/node/promptFollower.test.ts
@@ -88,6 +88,16 @@
 	}
 }
 
+/** Starts an instance that has asked the engines; one of them has a part cached. */
+async function startInformed(): Promise<Instance> {
+	const lists = new Map([['engine-2', JSON.stringify([{ id: 'group', tokens: 2500 }])]]);
+	const instance = startInstance({ lists });
+	instance.follower.tick(0);
+	instance.follower.tick(50);
+	await settle();
+	return instance;
+}
+
 function makePrompt(subject: number, own: string): PromptChain {
 	return buildPromptChain([
 		{ id: 'group', tokens: 2500 },
@@ -207,12 +217,7 @@
 	});
 
 	it('loss of all instances: the later ones take what the first one found', async () => {
-		const first = startInstance({
-			lists: new Map([['engine-2', JSON.stringify([{ id: 'group', tokens: 2500 }])]]),
-		});
-		first.follower.tick(0);
-		first.follower.tick(50);
-		await settle();
+		const first = await startInformed();
 		const second = startInstance({
 			rank: 1,
 			fetchFromPeer: () => Promise.resolve(first.follower.encodeSnapshot()),
@@ -250,12 +255,7 @@
 	});
 
 	it('loss of a large fleet: takes what the first one found, whatever others know since', async () => {
-		const first = startInstance({
-			lists: new Map([['engine-2', JSON.stringify([{ id: 'group', tokens: 2500 }])]]),
-		});
-		first.follower.tick(0);
-		first.follower.tick(50);
-		await settle();
+		const first = await startInformed();
 		const late = startInstance({
 			rank: 9,
 			fetchFromPeer: () => Promise.resolve(first.follower.encodeSnapshot()),
