Keep a closed stand-in closed

Ruled out: the gateway and its tests; none of their servers was open. Change: closing ends the refusal. The new test fails without it.

--- a/packages/stand-ins/src/node/standInServer.ts
+++ b/packages/stand-ins/src/node/standInServer.ts
@@ -38,6 +38,8 @@
 	private readonly server: Server;
 	private port = 0;
 	private hasCrashed = false;
+	/** Ends the time in which connections are refused. */
+	private refusalTimer: NodeJS.Timeout | undefined;
 
 	constructor(
 		private readonly options: StandInOptions,
@@ -106,6 +108,7 @@
 	}
 
 	public async close(): Promise<void> {
+		clearTimeout(this.refusalTimer);
 		await new Promise<void>((resolve) => {
 			this.server.close(() => {
 				resolve();
@@ -117,7 +120,8 @@
 	private refuseConnections(durationMs: number): void {
 		this.server.close();
 		this.server.closeAllConnections();
-		setTimeout(() => {
+		clearTimeout(this.refusalTimer);
+		this.refusalTimer = setTimeout(() => {
 			if (!this.hasCrashed) {
 				this.server.listen(this.port, LOOPBACK);
 			}
--- a/packages/stand-ins/test/node/applicationStandIn.test.ts
+++ b/packages/stand-ins/test/node/applicationStandIn.test.ts
@@ -58,6 +58,13 @@
 		expect(await sendBooking().catch((error: unknown) => error)).to.be.instanceOf(TypeError);
 	});
 
+	it('stays closed when it is closed while it refuses connections', async () => {
+		application.addFault({ kind: 'refuse', durationMs: 20 });
+		await application.close();
+		await new Promise((resolve) => setTimeout(resolve, 60));
+		expect(await sendBooking().catch((error: unknown) => error)).to.be.instanceOf(TypeError);
+	});
+
 	it('answers crossed when asked to', async () => {
 		application.addFault({ kind: 'crossed', count: 1 });
 		expect(await sendBooking()).not.to.equal(await sendBooking());
