Write once what the gateway and its adapter did twice

Ruled out as duplicates: the pairs that only share a shape (tables of constants, interfaces of parts).

--- a/packages/gateway/src/common/gatewayConfiguration.ts
+++ b/packages/gateway/src/common/gatewayConfiguration.ts
@@ -54,6 +54,14 @@
 	readonly idleTimeoutMs: number;
 }
 
+/** Limits before a configuration names them; 16 KiB is Node.js' own limit of headers. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+	maxHeaderBytes: 16_384,
+	maxBodyBytes: 4_194_304,
+	headerTimeoutMs: 3000,
+	idleTimeoutMs: 15_000,
+};
+
 export interface Customer {
 	readonly name: string;
 	/** Goes before the priority of the route; undefined: the route's priority holds. */
--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -20,8 +20,6 @@
 	readonly prompt: readonly PromptPart[];
 	/** Where the caller asks the stream to continue; undefined for a whole one. */
 	readonly lastEventId: string | undefined;
-	/** Tokens that may be generated; 0 if the caller does not tell. */
-	readonly maxOutputTokens: number;
 }
 
 /** What the gateway tells a target beside the caller's request. */
@@ -37,13 +35,6 @@
 	readonly fetchFrom: string | undefined;
 }
 
-/** How busy a target says it is. */
-export interface ReportedLoad {
-	readonly running: number;
-	readonly waiting: number;
-	readonly slots: number;
-}
-
 /** What the head of a target's answer says. */
 export interface AnswerFacts {
 	/** The request that it answers; undefined if it names none. */
@@ -54,7 +45,6 @@
 	readonly isNotRun: boolean;
 	/** Whether another target has taken over the address. */
 	readonly isOtherTarget: boolean;
-	readonly load: ReportedLoad | undefined;
 }
 
 /** The headers of one deployment, translated. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,6 @@
 /** Public interface of the gateway package: the serving path of routes. */
 export { CONNECTION_HEADERS, parseConnectionNames } from '@papayawell/core';
-export { sampleAddresses } from './common/addressSample.js';
+export { sampleAddresses, splitAddress } from './common/addresses.js';
 export type { EngineCodec } from './common/engineCodec.js';
 export type { EventLog, LogClass, LogFields } from './common/eventLog.js';
 export * from './common/gatewayConfiguration.js';
@@ -11,6 +11,6 @@
 export type { ListedTargets } from './common/targetView.js';
 export type { Gateway, GatewayDependencies, GatewaySettings } from './node/gateway.js';
 export { createGateway } from './node/gateway.js';
-export { splitAddress } from './node/peerLink.js';
+export { listenAt } from './node/listening.js';
 export type { ProcessLog } from './node/roarrLog.js';
 export { openProcessLog } from './node/roarrLog.js';
--- a/packages/gateway/src/node/callersPort.ts
+++ b/packages/gateway/src/node/callersPort.ts
@@ -5,21 +5,14 @@
 import type { Disposable } from '@papayawell/core';
 import type { GatewayInForce } from '../common/configurationInForce.js';
 import type { CallerLimits, Customer, Route } from '../common/gatewayConfiguration.js';
+import { DEFAULT_CALLER_LIMITS } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest } from '../common/gatewayRequest.js';
 import type { RefusalReason } from '../common/refusal.js';
-import { describeRefusal } from '../common/refusal.js';
 import { CallerAnswer } from './callerAnswer.js';
 import type { ExchangeParts } from './exchange.js';
 import { Exchange } from './exchange.js';
-import { splitAddress } from './peerLink.js';
-
-/** Bounds before the first configuration names them. */
-const DEFAULT_LIMITS: CallerLimits = {
-	maxHeaderBytes: 16_384,
-	maxBodyBytes: 4_194_304,
-	headerTimeoutMs: 3000,
-	idleTimeoutMs: 15_000,
-};
+import { listenAt } from './listening.js';
+
 /** How often Node looks for connections whose headers are late. */
 const CONNECTION_CHECK_MS = 1000;
 /** New connections that may wait to be accepted: callers return together after a restart. */
@@ -47,16 +40,15 @@
 	private pendingRequests = 0;
 	private isDraining = false;
 	private isRefusing = false;
-	private limits = DEFAULT_LIMITS;
-	private lastArrivalMs = -Infinity;
+	private limits = DEFAULT_CALLER_LIMITS;
 
 	constructor(private readonly options: CallersPortOptions) {
 		this.server = createServer(
 			{
-				maxHeaderSize: DEFAULT_LIMITS.maxHeaderBytes,
-				headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+				maxHeaderSize: DEFAULT_CALLER_LIMITS.maxHeaderBytes,
+				headersTimeout: DEFAULT_CALLER_LIMITS.headerTimeoutMs,
 				requestTimeout: 0,
-				keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
+				keepAliveTimeout: DEFAULT_CALLER_LIMITS.idleTimeoutMs,
 				connectionsCheckingInterval: CONNECTION_CHECK_MS,
 				noDelay: true,
 			},
@@ -71,17 +63,8 @@
 		return this.pendingRequests;
 	}
 
-	/** Arrival of the newest request, on the monotonic clock. */
-	public get newestArrivalMs(): number {
-		return this.lastArrivalMs;
-	}
-
 	public listen(): Promise<void> {
-		const { host, port } = splitAddress(this.options.address);
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen({ host, port, backlog: BACKLOG }, resolve);
-		});
+		return listenAt(this.server, this.options.address, BACKLOG);
 	}
 
 	/** Takes the limits of a new configuration. */
@@ -121,7 +104,6 @@
 
 	private handle(message: IncomingMessage, response: ServerResponse): void {
 		const receivedAtMs = performance.now();
-		this.lastArrivalMs = receivedAtMs;
 		this.pendingRequests += 1;
 		response.once('close', () => {
 			this.pendingRequests -= 1;
@@ -208,11 +190,7 @@
 		version: number,
 	): void {
 		const { codec, log, metrics } = this.options.exchange;
-		const { status, retryAfterMs } = describeRefusal(reason, Math.random());
-		const headers = codec.buildOwnHeaders(request.attemptId);
-		if (retryAfterMs !== undefined) {
-			headers['Retry-After'] = (retryAfterMs / 1000).toFixed(3);
-		}
+		const { status, retryAfterMs } = answer.refuse(reason, reason, codec.buildOwnHeaders(request.attemptId));
 		metrics.countEnd('', reason);
 		log.write('decision', 'requestEnded', {
 			id: request.attemptId,
@@ -223,7 +201,6 @@
 			configurationVersion: version,
 			totalMs: Math.round(performance.now() - receivedAtMs),
 		});
-		answer.sendOwn(status, headers, reason);
 	}
 }
 
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -8,7 +8,6 @@
 import type { PromptChain } from '../common/promptChain.js';
 import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
-import { describeRefusal } from '../common/refusal.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import { pickService } from '../common/routeTable.js';
 import type { TargetState } from '../common/targetState.js';
@@ -413,12 +412,8 @@
 	}
 
 	private refuse(reason: RefusalReason, detail: string): void {
-		const { status, retryAfterMs } = describeRefusal(reason, Math.random());
 		const headers = this.parts.codec.buildOwnHeaders(this.input.request.attemptId);
-		if (retryAfterMs !== undefined) {
-			headers['Retry-After'] = (retryAfterMs / 1000).toFixed(3);
-		}
-		this.answer.sendOwn(status, headers, detail);
+		const { status, retryAfterMs } = this.answer.refuse(reason, detail, headers);
 		this.end('refused', { status, reason, detail, retryAfterMs });
 	}
 
--- a/packages/gateway/src/node/fleet.ts
+++ b/packages/gateway/src/node/fleet.ts
@@ -1,6 +1,6 @@
 /** This instance's place in the fleet: finds the others, tells them what it believes and hears what they do. */
 import type { Disposable } from '@papayawell/core';
-import { sampleAddresses } from '../common/addressSample.js';
+import { sampleAddresses } from '../common/addresses.js';
 import type { EventLog } from '../common/eventLog.js';
 import { ROUND_MS } from '../common/messagePace.js';
 import type { MetadataStore } from '../common/metadataStore.js';
--- a/packages/gateway/src/node/peerLink.ts
+++ b/packages/gateway/src/node/peerLink.ts
@@ -7,8 +7,10 @@
 import { createServer, get } from 'node:http';
 import type { Server } from 'node:http';
 import type { Disposable } from '@papayawell/core';
+import { splitAddress } from '../common/addresses.js';
 import { FAN_OUT } from '../common/messagePace.js';
 import type { PeerState } from '../common/peerState.js';
+import { listenAt } from './listening.js';
 
 /** A fetch from a peer in the same region. */
 const FETCH_TIMEOUT_MS = 800;
@@ -53,10 +55,7 @@
 			this.socket.once('error', reject);
 			this.socket.bind(port, host, resolve);
 		});
-		await new Promise<void>((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, resolve);
-		});
+		await listenAt(this.server, this.options.address);
 	}
 
 	/** Sends a state to the given control addresses, or to some of them in a large fleet. */
@@ -148,8 +147,3 @@
 		Array.isArray(state.known)
 	);
 }
-
-export function splitAddress(address: string): { readonly host: string; readonly port: number } {
-	const colon = address.lastIndexOf(':');
-	return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
--- a/packages/gateway/test/common/addressSample.test.ts
+++ b/packages/gateway/test/common/addresses.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { sampleAddresses } from '../../src/common/addressSample.js';
+import { sampleAddresses } from '../../src/common/addresses.js';
 
 describe('sampleAddresses', () => {
 	const addresses = Array.from({ length: 100 }, (_, index) => `10.0.0.${index}:1`);
