--- /dev/null
+++ b/packages/gateway/src/common/attemptHistory.ts
@@ -0,0 +1,72 @@
+/** Where one request was sent and ran, and which targets are left for it. */
+
+/** Failures on sound targets after which the request itself is taken for the cause. */
+const MAX_PLAIN_FAILURES = 2;
+
+export class AttemptHistory {
+	/** Targets that it ran on, or may have. */
+	private readonly ranOn = new Set<string>();
+	private readonly avoidedTargets = new Set<string>();
+	/** Failures of targets that do not fail often: the request itself is then the likely cause. */
+	private plainFailures = 0;
+	private runCount = 0;
+	private sendCount = 0;
+
+	/** @param maxTargets targets that it may run on */
+	constructor(private readonly maxTargets: number) {}
+
+	/** Attempts that ran, or may have. */
+	public get runs(): number {
+		return this.runCount;
+	}
+
+	/** Sends, those included that a target turned down. */
+	public get sends(): number {
+		return this.sendCount;
+	}
+
+	/** Targets that it is not sent to any more. */
+	public get avoided(): ReadonlySet<string> {
+		return this.avoidedTargets;
+	}
+
+	/** The only targets that it may run on; undefined: any. */
+	public get allowed(): ReadonlySet<string> | undefined {
+		return this.ranOn.size >= this.maxTargets ? this.ranOn : undefined;
+	}
+
+	/** Whether a target is left: a new one, or one that it ran on before. */
+	public get hasTargetLeft(): boolean {
+		if (this.plainFailures >= MAX_PLAIN_FAILURES) {
+			return false;
+		}
+		return this.allowed === undefined || [...this.ranOn].some((id) => !this.avoidedTargets.has(id));
+	}
+
+	public noteAvoided(target: string): void {
+		this.avoidedTargets.add(target);
+	}
+
+	/** Notes that a byte goes out; returns whether it is the first run on the target. */
+	public noteSent(target: string | undefined): boolean {
+		this.sendCount += 1;
+		this.runCount += 1;
+		if (target === undefined || this.ranOn.has(target)) {
+			return false;
+		}
+		this.ranOn.add(target);
+		return true;
+	}
+
+	/** Takes the newest send back: it is certain that the target did not run it. */
+	public noteNotRun(target: string, wasFirstRunThere: boolean): void {
+		this.runCount -= 1;
+		if (wasFirstRunThere) {
+			this.ranOn.delete(target);
+		}
+	}
+
+	public notePlainFailure(): void {
+		this.plainFailures += 1;
+	}
+}
--- a/packages/gateway/src/node/callersPort.ts
+++ b/packages/gateway/src/node/callersPort.ts
@@ -9,8 +9,8 @@
 import type { GatewayRequest } from '../common/gatewayRequest.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { CallerAnswer } from './callerAnswer.js';
-import type { ExchangeParts } from './exchange.js';
 import { Exchange } from './exchange.js';
+import type { ExchangeParts } from './exchangeParts.js';
 import { listenAt } from './listening.js';
 
 /** How often Node looks for connections whose headers are late. */
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -1,64 +1,27 @@
 /** One request from the moment at which it is read whole to the last byte of its answer. */
-import type { SuspectBook, SuspectRun } from '@papayawell/core';
+import type { SuspectRun } from '@papayawell/core';
 import { decideAfterFailure } from '../common/attemptDecision.js';
-import type { EventLog } from '../common/eventLog.js';
-import type { Customer, Route } from '../common/gatewayConfiguration.js';
+import { AttemptHistory } from '../common/attemptHistory.js';
 import { isRepeatable } from '../common/gatewayConfiguration.js';
-import type { GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
 import type { PromptChain } from '../common/promptChain.js';
 import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import { pickService } from '../common/routeTable.js';
 import type { TargetState } from '../common/targetState.js';
-import type { Placement, TargetTable } from '../common/targetTable.js';
+import type { Placement } from '../common/targetTable.js';
 import type { AttemptFailure, AttemptResult } from './attemptAnswer.js';
 import { AttemptAnswer } from './attemptAnswer.js';
 import type { CallerAnswer } from './callerAnswer.js';
-import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { TargetCaller } from './targetCaller.js';
+import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
 
 /** A further attempt needs at least this much time to be worth sending. */
 const MIN_ATTEMPT_MS = 30;
-/** Failures on sound targets after which the request itself is taken for the cause. */
-const MAX_PLAIN_FAILURES = 2;
 /** The least urgent priority that targets know. */
 const MAX_PRIORITY = 9;
 /** Prompt tokens that a busy engine reads in a ms at least, for the time it may be silent. */
 const SLOW_PREFILL_TOKENS_PER_MS = 10;
 
-export interface ExchangeParts {
-	readonly codec: HeaderCodec;
-	readonly targets: TargetTable;
-	readonly caller: TargetCaller;
-	readonly suspects: SuspectBook;
-	readonly log: EventLog;
-	readonly metrics: GatewayMetrics;
-	/** Notes the first send of a request to a service. */
-	readonly noteRequest: (service: string) => void;
-	/** Takes one send beyond the first to a service from the fleet's allowance. */
-	readonly takeRetry: (service: string) => boolean;
-	/** Notes that a connection to the target broke while it worked on `run`. */
-	readonly onBroken: (target: TargetState, run: SuspectRun) => void;
-	/** Whether the targets of a service can fetch cached prompts from each other. */
-	readonly hasCacheTransfer: (service: string) => boolean;
-	/** Notes that a target reads a prompt. */
-	readonly notePrompt: (target: TargetState, prompt: PromptChain) => void;
-	/** Age of the list of targets in ms. */
-	readonly readTargetsAge: () => number;
-}
-
-export interface ExchangeInput {
-	readonly request: GatewayRequest;
-	readonly route: Route;
-	readonly customer: Customer | undefined;
-	readonly body: Buffer;
-	/** Names customer and content of the request. */
-	readonly fingerprint: string;
-	readonly receivedAtMs: number;
-	readonly configurationVersion: number;
-}
-
 interface CurrentAttempt {
 	readonly target: TargetState;
 	readonly answer: AttemptAnswer;
@@ -73,18 +36,11 @@
 export class Exchange {
 	private readonly service: string;
 	private readonly prompt: PromptChain;
-	/** Targets that it ran on, or may have. */
-	private readonly ranOn = new Set<string>();
-	/** Targets that it is not sent to any more. */
-	private readonly avoided = new Set<string>();
+	private readonly history: AttemptHistory;
 	private readonly path: string[] = [];
 	private readonly timer: NodeJS.Timeout;
 	private readonly endsAtMs: number;
 	private attempt: CurrentAttempt | undefined;
-	/** Failures of targets that do not fail often: the request itself is then the likely cause. */
-	private plainFailures = 0;
-	private runs = 0;
-	private sends = 0;
 	private lastEventId: string | undefined;
 	private hasEvents = false;
 	/** A target's own failure, for the caller if no further attempt does better. */
@@ -101,6 +57,7 @@
 	) {
 		const { route, request, receivedAtMs } = input;
 		this.service = pickService(route.services, Math.random()) ?? '';
+		this.history = new AttemptHistory(route.maxAttempts);
 		this.prompt = route.hasAffinity ? buildPromptChain(request.prompt) : [];
 		this.lastEventId = request.lastEventId;
 		const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
@@ -130,7 +87,7 @@
 					return;
 				}
 				for (const id of standing.avoid) {
-					this.avoided.add(id);
+					this.history.noteAvoided(id);
 				}
 				this.sendNext();
 				return;
@@ -159,12 +116,12 @@
 			return;
 		}
 		const { id } = attempt.target.record;
-		const placement = this.choose(new Set([...this.avoided, id]));
+		const placement = this.choose(new Set([...this.history.avoided, id]));
 		if (placement === undefined || placement.reason === 'lastResort' || !this.parts.takeRetry(this.service)) {
 			return;
 		}
 		attempt.answer.cancel();
-		this.avoided.add(id);
+		this.history.noteAvoided(id);
 		this.noteFailed(attempt, 'silent');
 		this.logFailure('silent', 'the target sends nothing', true, decision);
 		if (!this.send(placement)) {
@@ -173,7 +130,7 @@
 	}
 
 	private sendNext(): void {
-		const placement = this.choose(this.avoided);
+		const placement = this.choose(this.history.avoided);
 		if (placement === undefined) {
 			this.endUnserved('noTarget', `service ${this.service} has no target that takes work`);
 			return;
@@ -184,7 +141,7 @@
 	}
 
 	private choose(excluded: ReadonlySet<string>): Placement | undefined {
-		const { maxAttempts, objectiveMs } = this.input.route;
+		const { objectiveMs } = this.input.route;
 		return this.parts.targets.choose(
 			{
 				service: this.service,
@@ -192,7 +149,7 @@
 				objectiveMs,
 				hasCacheTransfer: this.parts.hasCacheTransfer(this.service),
 				excluded,
-				allowed: this.ranOn.size >= maxAttempts ? this.ranOn : undefined,
+				allowed: this.history.allowed,
 			},
 			performance.now(),
 		);
@@ -270,12 +227,10 @@
 	}
 
 	private noteSending(): void {
-		this.sends += 1;
-		this.runs += 1;
+		const isFirstRunThere = this.history.noteSent(this.attempt?.target.record.id);
 		if (this.attempt !== undefined) {
 			this.attempt.isSent = true;
-			this.attempt.isFirstRunThere = !this.ranOn.has(this.attempt.target.record.id);
-			this.ranOn.add(this.attempt.target.record.id);
+			this.attempt.isFirstRunThere = isFirstRunThere;
 		}
 	}
 
@@ -293,21 +248,20 @@
 			case 'failureAnswer':
 				attempt.target.health.noteAnswer(true);
 				this.closeAttempt('failed');
-				this.plainFailures += attempt.target.health.isFailingOften ? 0 : 1;
+				if (!attempt.target.health.isFailingOften) {
+					this.history.notePlainFailure();
+				}
 				if (this.parts.targets.isWorseThanOthers(attempt.target)) {
-					this.avoided.add(attempt.target.record.id);
+					this.history.noteAvoided(attempt.target.record.id);
 				}
 				this.fallback = { head: result.head, body: result.body };
 				this.decideNext(true, 'failureAnswer', `HTTP ${result.head.status}`);
 				return;
 			case 'failed':
 				this.noteFailed(attempt, result.failure);
-				this.avoided.add(attempt.target.record.id);
+				this.history.noteAvoided(attempt.target.record.id);
 				if (!result.mayHaveRun && attempt.isSent) {
-					this.runs -= 1;
-					if (attempt.isFirstRunThere) {
-						this.ranOn.delete(attempt.target.record.id);
-					}
+					this.history.noteNotRun(attempt.target.record.id, attempt.isFirstRunThere);
 				}
 				this.decideNext(result.mayHaveRun, result.failure, result.detail);
 				return;
@@ -345,7 +299,7 @@
 	private decideNext(mayHaveRun: boolean, failure: AttemptFailure | 'failureAnswer', detail: string): void {
 		const decision = this.decide(mayHaveRun);
 		const isAgain = decision === 'retry' || decision === 'resume';
-		const hasAllowance = !isAgain || this.sends === 0 || this.parts.takeRetry(this.service);
+		const hasAllowance = !isAgain || this.history.sends === 0 || this.parts.takeRetry(this.service);
 		this.logFailure(failure, detail, mayHaveRun, hasAllowance ? decision : 'retryDenied');
 		if (isAgain && hasAllowance) {
 			this.sendNext();
@@ -362,8 +316,8 @@
 			failure,
 			detail,
 			mayHaveRun,
-			runs: this.runs,
-			sends: this.sends,
+			runs: this.history.runs,
+			sends: this.history.sends,
 			events: this.lastEventId,
 			decision,
 		});
@@ -374,9 +328,9 @@
 		return decideAfterFailure(
 			{
 				isRepeatable: isRepeatable(route),
-				runs: this.runs,
-				sends: this.sends,
-				hasTarget: this.hasTargetLeft(),
+				runs: this.history.runs,
+				sends: this.history.sends,
+				hasTarget: this.history.hasTargetLeft,
 				hasStarted: this.answer.hasStarted,
 				isResumable: route.isResumable && this.lastEventId !== undefined,
 				hasTime: this.endsAtMs - performance.now() > MIN_ATTEMPT_MS,
@@ -385,16 +339,6 @@
 		);
 	}
 
-	private hasTargetLeft(): boolean {
-		if (this.plainFailures >= MAX_PLAIN_FAILURES) {
-			return false;
-		}
-		if (this.ranOn.size < this.input.route.maxAttempts) {
-			return true;
-		}
-		return [...this.ranOn].some((id) => !this.avoided.has(id));
-	}
-
 	/** Nothing more is tried: gives the caller the final answer at once. */
 	private endUnserved(reason: RefusalReason, detail: string): void {
 		if (this.answer.hasStarted) {
@@ -408,7 +352,7 @@
 			this.end('targetFailure', { status: head.status });
 			return;
 		}
-		this.refuse(this.runs > 0 ? 'targetFailed' : reason, detail);
+		this.refuse(this.history.runs > 0 ? 'targetFailed' : reason, detail);
 	}
 
 	private refuse(reason: RefusalReason, detail: string): void {
@@ -421,7 +365,7 @@
 		if (this.isEnded) {
 			return;
 		}
-		const wasSent = this.attempt?.isSent === true || this.runs > 0;
+		const wasSent = this.attempt?.isSent === true || this.history.runs > 0;
 		this.dropAttempt();
 		if (this.answer.hasStarted || this.fallback !== undefined) {
 			this.endUnserved('timeout', 'the time limit passed');
@@ -474,7 +418,7 @@
 			configurationVersion,
 			targetsAgeMs: Math.round(readTargetsAge()),
 			path: this.path.join(' '),
-			runs: this.runs,
+			runs: this.history.runs,
 			firstMs: this.firstAtMs === undefined ? undefined : Math.round(this.firstAtMs - receivedAtMs),
 			totalMs: Math.round(nowMs - receivedAtMs),
 			lastEvent: this.lastEventId,
