Leave the wiring of the gateway to wire

Cause: gateway.ts (417 lines) wired the parts and also decided on crashes, kept the retry windows and encoded the list of targets. Change: crashWatch.ts, retryAllowance.ts and targetListDocument.ts hold them; gateway.ts has 355 lines.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,22 +1,22 @@
 /** The one module that wires the parts of a gateway process. */
 import type { Disposable } from '@papayawell/core';
-import { DisposableStore, hashTextTo32, SuspectBook, toDisposable } from '@papayawell/core';
-import type { SuspectRun } from '@papayawell/core';
+import { DisposableStore, toDisposable } from '@papayawell/core';
 import { ConfigurationInForce } from '../common/configurationInForce.js';
 import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { CrashNews, FleetInstance, PeerState, TargetLoadNews } from '../common/peerState.js';
-import { RetryWindow } from '../common/retryWindow.js';
+import type { FleetInstance, PeerState, TargetLoadNews } from '../common/peerState.js';
+import { RetryAllowance } from '../common/retryAllowance.js';
 import type { RetryWindowSettings } from '../common/retryWindow.js';
-import type { TargetRecord } from '../common/targetRecord.js';
+import { computeDigest, encodeTargetList } from '../common/targetListDocument.js';
 import type { TargetState } from '../common/targetState.js';
 import { TargetTable } from '../common/targetTable.js';
-import type { ListedTargets, ViewChange } from '../common/targetView.js';
+import type { ViewChange } from '../common/targetView.js';
 import { TargetView } from '../common/targetView.js';
 import { CallersPort } from './callersPort.js';
 import { ConfigurationFollower } from './configurationFollower.js';
+import { CrashWatch } from './crashWatch.js';
 import { Fleet } from './fleet.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { PromptFollower } from './promptFollower.js';
@@ -26,12 +26,6 @@
 
 /** Time between two looks at what is due. */
 const TICK_MS = 100;
-/** How long a crash is held against the content that was running. */
-const SUSPICION_MS = 30_000;
-/** How long content that crashed two targets is refused. */
-const QUARANTINE_MS = 60_000;
-/** Crashes that are told to the other instances. */
-const MAX_CRASH_NEWS = 20;
 /** Part of a target's connections that the fleet uses; the older system has connections there too. */
 const CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 4;
@@ -83,8 +77,8 @@
 	private readonly inForce = new ConfigurationInForce();
 	private readonly view = new TargetView();
 	private readonly targets: TargetTable;
-	private readonly retryWindows = new Map<string, RetryWindow>();
-	private readonly suspects: SuspectBook;
+	private readonly retries: RetryAllowance;
+	private readonly crashes: CrashWatch;
 	private readonly caller: TargetCaller;
 	private readonly port: CallersPort;
 	private readonly fleet: Fleet;
@@ -92,22 +86,13 @@
 	private readonly configurationFollower: ConfigurationFollower;
 	private readonly targetFollower: TargetFollower;
 	private readonly promptFollower: PromptFollower;
-	private crashNews: {
-		readonly fingerprint: string;
-		readonly target: string;
-		readonly expiresAtMs: number;
-	}[] = [];
 	private digest = 0;
 	private wasServing = false;
 
 	constructor(private readonly dependencies: GatewayDependencies) {
 		const { settings, store, codec, log } = dependencies;
 		this.targets = new TargetTable(settings.self.zone);
-		this.suspects = new SuspectBook({ suspicionMs: SUSPICION_MS, quarantineMs: QUARANTINE_MS }, (fact) => {
-			if (fact.kind === 'suspicion') {
-				this.noteCrash(fact.fingerprint, fact.target, fact.expiresAtMs);
-			}
-		});
+		this.retries = new RetryAllowance(settings.retries);
 		this.metrics = new GatewayMetrics(() => ({
 			configurationVersion: this.inForce.version,
 			targetsAgeMs: this.view.computeAge(performance.now()),
@@ -125,6 +110,13 @@
 				log.write('decision', 'crossedAnswer', { id: attemptId, target });
 			},
 		});
+		this.crashes = new CrashWatch({
+			log,
+			probe: (target) => this.caller.probe(target),
+			onDidSuspect: () => {
+				this.fleet.announce(performance.now());
+			},
+		});
 		this.port = new CallersPort({
 			address: settings.self.callersAddress,
 			readInForce: () => this.inForce.current,
@@ -133,15 +125,15 @@
 				codec,
 				targets: this.targets,
 				caller: this.caller,
-				suspects: this.suspects,
+				suspects: this.crashes.suspects,
 				log,
 				metrics: this.metrics,
 				noteRequest: (service) => {
-					this.getRetryWindow(service).noteRequest(performance.now());
+					this.retries.noteRequest(service, performance.now());
 				},
 				takeRetry: (service) => this.takeRetry(service),
 				onBroken: (target, run) => {
-					void this.checkBroken(target, run);
+					void this.crashes.checkBroken(target, run);
 				},
 				hasCacheTransfer: (service) =>
 					this.inForce.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
@@ -181,7 +173,7 @@
 			onDidChange: (change) => {
 				this.handleTargets(change);
 			},
-			fetchFromPeer: async (address) => decodeTargets(await this.fleet.fetch(address, '/targets')),
+			fetchFromPeer: (address) => this.fleet.fetch(address, '/targets'),
 		});
 		this.promptFollower = new PromptFollower({
 			targets: this.targets,
@@ -298,7 +290,6 @@
 				loads.push([record.id, ownRequests, ownReadingTokens]);
 			}
 		}
-		this.crashNews = this.crashNews.filter(({ expiresAtMs }) => expiresAtMs > nowMs).slice(-MAX_CRASH_NEWS);
 		return {
 			isServing: this.isServing(),
 			configurationVersion: this.inForce.version,
@@ -309,11 +300,7 @@
 			prompts: this.promptFollower.listNews(nowMs),
 			promptTokens: this.promptFollower.countKnownTokens(),
 			promptKnowledge: this.promptFollower.knowledge,
-			crashes: this.crashNews.map(({ fingerprint, target, expiresAtMs }) => ({
-				fingerprint,
-				target,
-				expiresInMs: Math.round(expiresAtMs - nowMs),
-			})),
+			crashes: this.crashes.listNews(nowMs),
 		};
 	}
 
@@ -325,22 +312,13 @@
 		this.targetFollower.notePeerList(instance.controlAddress, list, this.digest, nowMs);
 		this.promptFollower.adoptNews(state.prompts);
 		this.promptFollower.notePeer(state, nowMs);
-		for (const news of state.crashes) {
-			this.adoptCrash(news, nowMs);
-		}
+		this.crashes.adoptNews(state.crashes, nowMs);
 	}
 
 	private getMemory(target: TargetState): number {
 		return this.inForce.current?.configuration.services.get(target.record.service)?.memoryTokens ?? 0;
 	}
 
-	private adoptCrash({ fingerprint, target, expiresInMs }: CrashNews, nowMs: number): void {
-		this.suspects.adopt(
-			{ kind: 'suspicion', fingerprint, target, expiresAtMs: nowMs + expiresInMs, version: nowMs },
-			nowMs,
-		);
-	}
-
 	private handleTargets(change: ViewChange): void {
 		this.targets.apply(change);
 		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
@@ -355,42 +333,15 @@
 		if (this.view.revision === 0) {
 			return undefined;
 		}
-		const list: ListedTargets = { revision: this.view.revision, targets: this.view.records };
-		return JSON.stringify({ list, ageMs: Math.round(this.view.computeAge(performance.now())) });
-	}
-
-	/** Finds out whether a target whose connection broke has died, which makes its requests suspects. */
-	private async checkBroken(target: TargetState, run: SuspectRun): Promise<void> {
-		const isAlive = await this.caller.probe(target);
-		const nowMs = performance.now();
-		if (!isAlive) {
-			target.health.noteBroken(nowMs, true);
-			this.suspects.noteTargetDied(run.target, nowMs);
-			this.dependencies.log.write('state', 'targetDied', {
-				target: target.record.id,
-				service: target.record.service,
-			});
-		}
-		this.suspects.settle(run);
-	}
-
-	private noteCrash(fingerprint: string, target: string, expiresAtMs: number): void {
-		this.crashNews.push({ fingerprint, target, expiresAtMs });
-		this.fleet.announce(performance.now());
+		return encodeTargetList({
+			list: { revision: this.view.revision, targets: this.view.records },
+			ageMs: Math.round(this.view.computeAge(performance.now())),
+		});
 	}
 
 	private takeRetry(service: string): boolean {
 		const nowMs = performance.now();
-		return this.getRetryWindow(service).take(nowMs, this.fleet.peers.countInstances(nowMs));
-	}
-
-	private getRetryWindow(service: string): RetryWindow {
-		let window = this.retryWindows.get(service);
-		if (window === undefined) {
-			window = new RetryWindow(this.dependencies.settings.retries);
-			this.retryWindows.set(service, window);
-		}
-		return window;
+		return this.retries.take(service, nowMs, this.fleet.peers.countInstances(nowMs));
 	}
 
 	private computeConnectionLimit(service: string): number {
@@ -402,16 +353,3 @@
 		return Math.max(MIN_CONNECTIONS, Math.floor((definition.maxConnections * CONNECTION_SHARE) / instances));
 	}
 }
-
-function computeDigest(records: readonly TargetRecord[]): number {
-	const lines = records.map((record) => JSON.stringify(record));
-	return hashTextTo32(lines.sort().join('\n'));
-}
-
-function decodeTargets(
-	text: string | undefined,
-): { readonly list: ListedTargets; readonly ageMs: number } | undefined {
-	return text === undefined
-		? undefined
-		: (JSON.parse(text) as { readonly list: ListedTargets; readonly ageMs: number });
-}
--- a/packages/gateway/src/node/targetFollower.ts
+++ b/packages/gateway/src/node/targetFollower.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import { describeError } from '../common/metadataStore.js';
+import { decodeTargetList } from '../common/targetListDocument.js';
 import type { ListedTargets, ListSource, TargetView, ViewChange } from '../common/targetView.js';
 import { isEmptyChange } from '../common/targetView.js';
 
@@ -26,10 +27,8 @@
 	readonly log: EventLog;
 	readonly readOwnRank: () => number;
 	readonly onDidChange: (change: ViewChange) => void;
-	/** Fetches the list of a peer with its age in ms; undefined if it does not answer. */
-	readonly fetchFromPeer: (
-		controlAddress: string,
-	) => Promise<{ readonly list: ListedTargets; readonly ageMs: number } | undefined>;
+	/** Fetches the list of a peer; undefined if it does not answer. */
+	readonly fetchFromPeer: (controlAddress: string) => Promise<string | undefined>;
 }
 
 export class TargetFollower implements Disposable {
@@ -88,10 +87,16 @@
 	}
 
 	private async fetch(controlAddress: string): Promise<void> {
-		const fetched = await this.parts.fetchFromPeer(controlAddress);
-		if (fetched !== undefined) {
-			this.apply(fetched.list, 'peer', performance.now() - fetched.ageMs);
+		const text = await this.parts.fetchFromPeer(controlAddress);
+		if (text === undefined) {
+			return;
+		}
+		const fetched = decodeTargetList(text);
+		if (fetched === undefined) {
+			this.parts.log.write('state', 'unreadableTargetList', { controlAddress, bytes: text.length });
+			return;
 		}
+		this.apply(fetched.list, 'peer', performance.now() - fetched.ageMs);
 	}
 
 	private async read(): Promise<void> {
