--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -14,6 +14,7 @@
 import { AttemptAnswer } from './attemptAnswer.js';
 import type { CallerAnswer } from './callerAnswer.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
+import { ExchangeReport } from './exchangeReport.js';
 
 /** A further attempt needs at least this much time to be worth sending. */
 const MIN_ATTEMPT_MS = 30;
@@ -37,7 +38,7 @@
 	private readonly service: string;
 	private readonly prompt: PromptChain;
 	private readonly history: AttemptHistory;
-	private readonly path: string[] = [];
+	private readonly report: ExchangeReport;
 	private readonly timer: NodeJS.Timeout;
 	private readonly endsAtMs: number;
 	private attempt: CurrentAttempt | undefined;
@@ -45,7 +46,6 @@
 	private hasEvents = false;
 	/** A target's own failure, for the caller if no further attempt does better. */
 	private fallback: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
-	private firstAtMs: number | undefined;
 	private isEnded = false;
 
 	/** @param onEnded called once when nothing more happens */
@@ -57,6 +57,7 @@
 	) {
 		const { route, request, receivedAtMs } = input;
 		this.service = pickService(route.services, Math.random()) ?? '';
+		this.report = new ExchangeReport(parts, input, this.service);
 		this.history = new AttemptHistory(route.maxAttempts);
 		this.prompt = route.hasAffinity ? buildPromptChain(request.prompt) : [];
 		this.lastEventId = request.lastEventId;
@@ -123,7 +124,7 @@
 		attempt.answer.cancel();
 		this.history.noteAvoided(id);
 		this.noteFailed(attempt, 'silent');
-		this.logFailure('silent', 'the target sends nothing', true, decision);
+		this.reportFailure('silent', 'the target sends nothing', true, decision);
 		if (!this.send(placement)) {
 			this.endUnserved('noConnection', `no further connection to ${placement.target.record.id} is allowed`);
 		}
@@ -174,7 +175,7 @@
 				this.lastEventId = id ?? this.lastEventId;
 			},
 			onStarted: () => {
-				this.firstAtMs ??= performance.now();
+				this.report.noteFirst();
 				endReading(attempt);
 			},
 			onResult: (result) => {
@@ -196,9 +197,7 @@
 		};
 		target.ownReadingTokens += readingTokens;
 		this.attempt = attempt;
-		this.path.push(
-			`${record.id}:${placement.reason}:${target.load}/${placement.meanLoad.toFixed(1)}:${placement.cachedTokens}`,
-		);
+		this.report.notePlacement(placement);
 		target.noteSent(nowMs, this.estimateReadingTime());
 		const call = this.parts.caller.send(
 			target,
@@ -300,7 +299,7 @@
 		const decision = this.decide(mayHaveRun);
 		const isAgain = decision === 'retry' || decision === 'resume';
 		const hasAllowance = !isAgain || this.history.sends === 0 || this.parts.takeRetry(this.service);
-		this.logFailure(failure, detail, mayHaveRun, hasAllowance ? decision : 'retryDenied');
+		this.reportFailure(failure, detail, mayHaveRun, hasAllowance ? decision : 'retryDenied');
 		if (isAgain && hasAllowance) {
 			this.sendNext();
 			return;
@@ -308,19 +307,8 @@
 		this.endUnserved(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
 	}
 
-	private logFailure(failure: string, detail: string, mayHaveRun: boolean, decision: string): void {
-		this.parts.metrics.countDecision(decision);
-		this.parts.log.write('decision', 'attemptFailed', {
-			id: this.input.request.attemptId,
-			target: this.path.at(-1),
-			failure,
-			detail,
-			mayHaveRun,
-			runs: this.history.runs,
-			sends: this.history.sends,
-			events: this.lastEventId,
-			decision,
-		});
+	private reportFailure(failure: string, detail: string, mayHaveRun: boolean, decision: string): void {
+		this.report.writeFailure({ failure, detail, mayHaveRun, decision }, this.history, this.lastEventId);
 	}
 
 	private decide(mayHaveRun: boolean): ReturnType<typeof decideAfterFailure> {
@@ -401,29 +389,7 @@
 		}
 		this.isEnded = true;
 		clearTimeout(this.timer);
-		const { request, route, customer, receivedAtMs, configurationVersion } = this.input;
-		const nowMs = performance.now();
-		const { log, metrics, readTargetsAge } = this.parts;
-		metrics.countEnd(route.name, outcome);
-		metrics.noteLatency(route.kind, 'whole', nowMs - receivedAtMs);
-		if (this.firstAtMs !== undefined) {
-			metrics.noteLatency(route.kind, 'first', this.firstAtMs - receivedAtMs);
-		}
-		log.write(outcome === 'answered' ? 'routine' : 'decision', 'requestEnded', {
-			id: request.attemptId,
-			outcome,
-			route: route.name,
-			service: this.service,
-			customer: customer?.name,
-			configurationVersion,
-			targetsAgeMs: Math.round(readTargetsAge()),
-			path: this.path.join(' '),
-			runs: this.history.runs,
-			firstMs: this.firstAtMs === undefined ? undefined : Math.round(this.firstAtMs - receivedAtMs),
-			totalMs: Math.round(nowMs - receivedAtMs),
-			lastEvent: this.lastEventId,
-			...fields,
-		});
+		this.report.writeEnd(outcome, this.history, this.lastEventId, fields);
 		this.onEnded();
 	}
 }
