Keep the listener of a socket's errors after it listens

Cause: took the listener away once the socket listened; a later error, as of a connection that cannot be accepted, would have ended the process.

--- a/packages/gateway/src/node/listening.ts
+++ b/packages/gateway/src/node/listening.ts
@@ -10,9 +10,6 @@
 export function listenAt(server: Server, address: string, backlog?: number): Promise<void> {
 	return new Promise((resolve, reject) => {
 		server.once('error', reject);
-		server.listen({ ...splitAddress(address), ...(backlog === undefined ? {} : { backlog }) }, () => {
-			server.off('error', reject);
-			resolve();
-		});
+		server.listen({ ...splitAddress(address), ...(backlog === undefined ? {} : { backlog }) }, resolve);
 	});
 }
