Keep what was known across a restore of the store, and heed leaving and full targets

Cause: a store that comes back from an old copy assigns revisions and lease ids again. Revisions were compared as if there were one history: after a restore no peer's newer list was taken until the numbers had caught up, a list of before confirmed itself, a watch could go on from a number of the other history, a lease id could be that of another instance, and a target that had left was in use again, at running instances and at one that started. `Server-Leaving` and `Retry-After` of targets were not read.

Change: positions are (era, revision); a tracker in the store client notes eras, drops waiting watches and stale responses, and registers anew. The target view remembers starts that announced their leaving or were removed, apart from the list as read, so that digests stay equal; peers gossip what the list does not show, and tell all of it to an instance that starts. A 503 with Retry-After keeps this instance's requests, retries and list calls off the target; if all targets want none, callers are refused at once with the earliest end, spread by priority.

--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -51,6 +51,10 @@
 	readonly isNotRun: boolean;
 	/** Whether a different target now has the address. */
 	readonly isMisdirected: boolean;
+	/** Whether the target announces that it leaves. */
+	readonly isLeaving: boolean;
+	/** Stated time in seconds, unparsed, in which the target wants no further request; undefined if it states none. */
+	readonly retryAfter: string | undefined;
 }
 
 /** Translates between the headers of a deployment and the gateway's types. */
--- a/packages/gateway/src/common/metadataStore.ts
+++ b/packages/gateway/src/common/metadataStore.ts
@@ -1,6 +1,9 @@
 /** Interface of the platform's metadata store, as far as the gateway uses it. */
-import type { ListedTargets } from './targetView.js';
+import type { Event } from '@papayawell/core';
 import type { GatewayConfiguration } from './gatewayConfiguration.js';
+import type { StoreRestore } from './storeEraTracker.js';
+import type { StorePosition } from './storePosition.js';
+import type { ListedTargets } from './targetView.js';
 
 /** A configuration with the text from which it was decoded, which is forwarded to peers unchanged. */
 export interface DecodedConfiguration {
@@ -11,15 +14,23 @@
 export interface ConfigurationReadResult {
 	/** Undefined if there is no configuration yet, or if it did not change. */
 	readonly decoded: DecodedConfiguration | undefined;
-	/** Store revision from which the next watch continues. */
-	readonly revision: number;
+	/** Position of the store from which the next watch continues. */
+	readonly position: StorePosition;
 }
 
 /** Calls that fail reject with a `StoreError`. */
 export interface MetadataStore {
+	/** Fires when the store was restored from a copy. Watches that are waiting then reject with the kind `restored`. */
+	readonly onDidRestore: Event<StoreRestore>;
+	/** Handles the era that a peer has seen, so that a restore is noticed even while the store is out of reach. */
+	observePeerEra(era: number): void;
 	readConfiguration(signal: AbortSignal): Promise<ConfigurationReadResult>;
-	/** Waits for a configuration newer than `revision`. Resolves without one after `waitMs`, at most 30,000. */
-	watchConfiguration(revision: number, waitMs: number, signal: AbortSignal): Promise<ConfigurationReadResult>;
+	/** Waits for a configuration newer than `position`. Resolves without one after `waitMs`, at most 30,000. */
+	watchConfiguration(
+		position: StorePosition,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<ConfigurationReadResult>;
 	/** Decodes a configuration that was received from a peer; undefined if it is malformed. */
 	decodeConfiguration(encoded: string): DecodedConfiguration | undefined;
 	listTargets(signal: AbortSignal): Promise<ListedTargets>;
@@ -36,6 +47,8 @@
 	| 'refused'
 	/** The revision has been compacted; a full read is required. */
 	| 'compacted'
+	/** The store was restored from a copy meanwhile, so what the call returned or waits for is void. */
+	| 'restored'
 	/** The lease has expired. */
 	| 'leaseLost'
 	| 'unexpected';
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -3,6 +3,8 @@
  * the wire.
  */
 
+import type { TargetStart } from './targetStarts.js';
+
 export const PromptKnowledge = {
 	/** The instance knows only the prompts placed since its start. */
 	Own: 'own',
@@ -33,10 +35,19 @@
 	readonly isServing: boolean;
 	readonly configurationVersion: number;
 	readonly targetsRevision: number;
+	/** Era of the store to which the revision belongs; undefined from instances of an older version. */
+	readonly storeEra?: number;
 	/** Time since the list of targets was last confirmed by the store, in ms. */
 	readonly targetsAgeMs: number;
 	/** Digest of the list of targets, so that equal lists need no transfer. */
 	readonly targetsDigest: number;
+	/**
+	 * Targets that announced that they leave, but that the list of this instance shows as ready; undefined from
+	 * instances of an older version.
+	 */
+	readonly leaving?: readonly TargetStart[];
+	/** Starts of targets whose entries were removed; only sent to an instance that starts. */
+	readonly removed?: readonly TargetStart[];
 	/** Requests in flight on each target; targets without any are omitted. */
 	readonly loads: readonly TargetLoad[];
 	/** Request contents that were running when a target crashed. */
--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -11,6 +11,8 @@
 	| 'noTarget'
 	| 'noConnection'
 	| 'targetsBusy'
+	/** All targets of the service asked for a pause. */
+	| 'targetsBackingOff'
 	| 'crashingRequest'
 	| 'timeoutBeforeRun'
 	| 'timeout'
@@ -36,8 +38,15 @@
 /** Share of the retry time that is randomized, so that callers do not retry simultaneously. */
 const JITTER_SHARE = 0.5;
 
-/** @param jitter random number in [0, 1) */
-export function buildErrorResponse(reason: RefusalReason, jitter: number): ErrorResponse {
+/**
+ * @param jitter random number in [0, 1)
+ * @param returnDelayMs time after which a retry can succeed, if it is known
+ */
+export function buildErrorResponse(
+	reason: RefusalReason,
+	jitter: number,
+	returnDelayMs?: number,
+): ErrorResponse {
 	const addJitter = (typicalMs: number): number =>
 		Math.round(typicalMs * (1 - JITTER_SHARE / 2 + JITTER_SHARE * jitter));
 	switch (reason) {
@@ -54,6 +63,8 @@
 		case 'noConfiguration':
 		case 'noTarget':
 			return { status: 503, retryAfterMs: addJitter(RECOVERY_RETRY_AFTER_MS) };
+		case 'targetsBackingOff':
+			return { status: 503, retryAfterMs: returnDelayMs ?? addJitter(RECOVERY_RETRY_AFTER_MS) };
 		case 'noConnection':
 		case 'targetsBusy':
 		case 'timeoutBeforeRun':
--- a/packages/gateway/src/common/targetListDocument.ts
+++ b/packages/gateway/src/common/targetListDocument.ts
@@ -1,5 +1,4 @@
 /** Encodes the list of targets for transfer to a peer. */
-import { hashTextTo32 } from '@papayawell/core';
 import type { TargetRecord } from './targetRecord.js';
 import type { ListedTargets } from './targetView.js';
 
@@ -25,17 +24,12 @@
 	return isPeerTargetList(value) ? value : undefined;
 }
 
-/** Computes a digest that does not depend on the order of the records. */
-export function computeDigest(records: readonly TargetRecord[]): number {
-	const lines = records.map((record) => JSON.stringify(record));
-	return hashTextTo32(lines.sort().join('\n'));
-}
-
 function isPeerTargetList(value: unknown): value is PeerTargetList {
 	const { list, ageMs } = (value ?? {}) as Partial<PeerTargetList>;
 	return (
 		typeof ageMs === 'number' &&
-		typeof list?.revision === 'number' &&
+		typeof list?.era === 'number' &&
+		typeof list.revision === 'number' &&
 		Array.isArray(list.targets) &&
 		list.targets.every(isTargetRecord)
 	);
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -27,6 +27,8 @@
 	 * response.
 	 */
 	public averageTimeToHeadMs = 0;
+	/** Until then the target wants no request from this instance. */
+	private backOffUntilMs = -Infinity;
 	private lastActivityMs = -Infinity;
 	/** Until then a target that sends nothing is not considered hung, since it may be prefilling a prompt. */
 	private firstByteDueAtMs = -Infinity;
@@ -54,6 +56,16 @@
 		return this.ownPrefillTokens + this.peerPrefillTokens;
 	}
 
+	/** Records that the target wants no request until `untilMs`. An earlier, longer request stays in force. */
+	public recordBackOff(untilMs: number): void {
+		this.backOffUntilMs = Math.max(this.backOffUntilMs, untilMs);
+	}
+
+	/** Returns the time for which the target wants no request, in ms; 0 if it takes requests. */
+	public getBackOff(nowMs: number): number {
+		return Math.max(0, this.backOffUntilMs - nowMs);
+	}
+
 	public recordActivity(nowMs: number): void {
 		this.lastActivityMs = nowMs;
 	}
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -111,9 +111,18 @@
 		return target.health.failureRate > HIGH_FAILURE_RATIO * mean + HIGH_FAILURE_MARGIN;
 	}
 
+	/**
+	 * Returns the time until a target of a service takes requests again, in ms; 0 if one does, or if none is known that
+	 * will.
+	 */
+	public computeBackOff(service: string, nowMs: number): number {
+		const staying = (this.byService.get(service) ?? []).filter(({ record }) => !record.isLeaving);
+		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.getBackOff(nowMs)));
+	}
+
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
 		const all = this.byService.get(request.service) ?? [];
-		const serving = all.filter(({ record }) => !record.isLeaving);
+		const serving = all.filter((target) => !target.record.isLeaving && target.getBackOff(nowMs) === 0);
 		const healthy = selectHealthy(serving, nowMs);
 		const candidates = healthy.filter((target) => isAllowed(target, request));
 		if (candidates.length === 0) {
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -53,13 +53,17 @@
 		this.response.destroy();
 	}
 
-	/** Refuses the request, with a `Retry-After` header if a retry can succeed; returns what was sent. */
+	/**
+	 * Refuses the request, with a `Retry-After` header if a retry can succeed; returns what was sent.
+	 * @param returnDelayMs time after which a retry can succeed, if it is known
+	 */
 	public refuse(
 		reason: RefusalReason,
 		detail: string,
 		headers: Readonly<Record<string, string>>,
+		returnDelayMs?: number,
 	): ErrorResponse {
-		const refusal = buildErrorResponse(reason, Math.random());
+		const refusal = buildErrorResponse(reason, Math.random(), returnDelayMs);
 		const { status, retryAfterMs } = refusal;
 		const retryAfter: Record<string, string> =
 			retryAfterMs === undefined ? {} : { 'Retry-After': (retryAfterMs / 1000).toFixed(3) };
--- a/packages/gateway/src/node/configurationSync.ts
+++ b/packages/gateway/src/node/configurationSync.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import { describeError, StoreError } from '../common/metadataStore.js';
+import type { StorePosition } from '../common/storePosition.js';
 
 /** Back-off after a failed call; doubles up to the maximum. */
 const INITIAL_BACKOFF_MS = 100;
@@ -81,15 +82,15 @@
 
 	private async run(): Promise<void> {
 		const { signal } = this.abortController;
-		let revision: number | undefined;
+		let position: StorePosition | undefined;
 		let backoffMs = INITIAL_BACKOFF_MS;
 		while (!signal.aborted) {
 			try {
-				revision = await this.readNext(revision, signal);
+				position = await this.readNext(position, signal);
 				backoffMs = INITIAL_BACKOFF_MS;
 				this.updateStoreStatus(undefined);
 			} catch (error) {
-				revision = isCompacted(error) ? undefined : revision;
+				position = isPositionLost(error) ? undefined : position;
 				this.updateStoreStatus(error);
 				await sleep(backoffMs * (1 - BACKOFF_JITTER * Math.random()));
 				const maxBackoffMs =
@@ -99,22 +100,25 @@
 		}
 	}
 
-	/** Reads the configuration, or watches for one after `revision`; returns the revision to continue from. */
-	private async readNext(revision: number | undefined, signal: AbortSignal): Promise<number | undefined> {
+	/** Reads the configuration, or watches for one after `position`; returns the position to continue from. */
+	private async readNext(
+		position: StorePosition | undefined,
+		signal: AbortSignal,
+	): Promise<StorePosition | undefined> {
 		const { store, activeConfiguration } = this.parts;
 		const result =
-			revision === undefined
+			position === undefined
 				? await store.readConfiguration(signal)
-				: await store.watchConfiguration(revision, this.chooseWatchTimeout(), signal);
+				: await store.watchConfiguration(position, this.chooseWatchTimeout(), signal);
 		if (result.decoded !== undefined) {
 			activeConfiguration.tryAdopt(result.decoded, 'store');
 		}
-		if (result.revision === 0) {
+		if (result.position.revision === 0) {
 			// Without a revision of the store there is nothing to watch from.
 			await sleep(EMPTY_STORE_POLL_INTERVAL_MS);
 			return undefined;
 		}
-		return result.revision;
+		return result.position;
 	}
 
 	private chooseWatchTimeout(): number {
@@ -122,7 +126,7 @@
 	}
 
 	private updateStoreStatus(error: unknown): void {
-		const isLost = error !== undefined && !isCompacted(error);
+		const isLost = error !== undefined && !isPositionLost(error);
 		if (isLost !== this.hasStoreFailed) {
 			this.hasStoreFailed = isLost;
 			this.parts.log.write('state', isLost ? 'storeLost' : 'storeRegained', {
@@ -134,6 +138,7 @@
 	}
 }
 
-function isCompacted(error: unknown): boolean {
-	return error instanceof StoreError && error.kind === 'compacted';
+/** Whether the store answers, but can't continue from the position, so that a full read is required. */
+function isPositionLost(error: unknown): boolean {
+	return error instanceof StoreError && (error.kind === 'compacted' || error.kind === 'restored');
 }
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -6,6 +6,7 @@
 import type { PromptChain } from '../common/promptChain.js';
 import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
+import { computeReturnDelay } from '../common/returnDelay.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import { pickService } from '../common/routeTable.js';
 import type { TargetState } from '../common/targetState.js';
@@ -140,7 +141,11 @@
 	private sendNext(): void {
 		const placement = this.choosePlacement(this.history.excluded);
 		if (placement === undefined) {
-			this.endWithFailure('noTarget', `service ${this.service} has no target that takes work`);
+			const backOffMs = this.parts.targets.computeBackOff(this.service, performance.now());
+			this.endWithFailure(
+				backOffMs > 0 ? 'targetsBackingOff' : 'noTarget',
+				`service ${this.service} has no target that takes work`,
+			);
 			return;
 		}
 		if (!this.send(placement)) {
@@ -217,7 +222,7 @@
 				target: record.id,
 				remainingMs: Math.max(1, Math.floor(this.deadlineAtMs - nowMs)),
 				customer: customer?.name,
-				priority: Math.min(LEAST_URGENT_PRIORITY, customer?.priority ?? route.priority),
+				priority: this.priority,
 				cacheSourceAddress: placement.cacheSource?.record.address,
 				resumeAfterEventId: isResumedStream ? this.lastEventId : request.lastEventId,
 			},
@@ -319,7 +324,14 @@
 			this.sendNext();
 			return;
 		}
-		this.endWithFailure(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
+		this.endWithFailure(this.chooseRefusalReason(failure), detail);
+	}
+
+	private chooseRefusalReason(failure: AttemptFailure | 'failureAnswer'): RefusalReason {
+		if (this.parts.targets.computeBackOff(this.service, performance.now()) > 0) {
+			return 'targetsBackingOff';
+		}
+		return failure === 'rejected' ? 'targetsBusy' : 'noTarget';
 	}
 
 	private logFailure(failure: string, detail: string, mayHaveRun: boolean, decision: string): void {
@@ -361,10 +373,22 @@
 	/** Refuses the request. `detail` is part of the response body, so its texts, also those of attempts, stay stable. */
 	private refuse(reason: RefusalReason, detail: string): void {
 		const headers = this.parts.codec.buildGatewayResponseHeaders(this.input.request.attemptId);
-		const { status, retryAfterMs } = this.callerResponse.refuse(reason, detail, headers);
+		const returnDelayMs = reason === 'targetsBackingOff' ? this.computeReturnDelay() : undefined;
+		const { status, retryAfterMs } = this.callerResponse.refuse(reason, detail, headers, returnDelayMs);
 		this.end('refused', { status, reason, detail, retryAfterMs });
 	}
 
+	private computeReturnDelay(): number {
+		const backOffMs = this.parts.targets.computeBackOff(this.service, performance.now());
+		return computeReturnDelay(backOffMs, this.priority, Math.random());
+	}
+
+	/** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
+	private get priority(): number {
+		const { customer, route } = this.input;
+		return Math.min(LEAST_URGENT_PRIORITY, customer?.priority ?? route.priority);
+	}
+
 	private handleTimeout(): void {
 		if (this.isEnded) {
 			return;
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -35,6 +35,10 @@
 	readonly log: EventLog;
 	/** Returns the state to advertise now, without the addresses of peers. */
 	readonly describeSelf: () => Omit<PeerState, 'known' | 'instance'>;
+	/** Describes what this instance knows of targets that left, for an instance that starts. */
+	readonly describeLeft: () => Pick<PeerState, 'leaving' | 'removed'>;
+	/** Called when the peers that the seeds and the store name have been sent a datagram. */
+	readonly onDidContactPeers: () => void;
 	readonly onPeerState: (state: PeerState, previous: PeerState | undefined) => void;
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
 }
@@ -159,7 +163,8 @@
 		const isStarted = previous?.instance.incarnation !== state.instance.incarnation;
 		if (isStarted) {
 			// An instance that just started waits for the versions of configuration, targets and prompts.
-			this.transport.send(this.buildState(this.listPeerAddresses()), [controlAddress]);
+			const answer = { ...this.buildState(this.listPeerAddresses()), ...this.parts.describeLeft() };
+			this.transport.send(answer, [controlAddress]);
 		}
 		if (isStarted || previous.isServing !== state.isServing) {
 			this.parts.log.write('state', 'peerChanged', {
@@ -192,9 +197,16 @@
 
 	private async fetchInstances(): Promise<void> {
 		try {
-			for (const address of await this.parts.store.listInstances(this.abortController.signal)) {
-				this.candidates.set(address, performance.now() + CANDIDATE_TTL_MS);
+			const addresses = await this.parts.store.listInstances(this.abortController.signal);
+			const nowMs = performance.now();
+			const isNew = addresses.some((address) => !this.candidates.has(address));
+			for (const address of addresses) {
+				this.candidates.set(address, nowMs + CANDIDATE_TTL_MS);
+			}
+			if (isNew && this.peers.listAll().length === 0) {
+				this.announce(nowMs);
 			}
+			this.parts.onDidContactPeers();
 		} catch (error) {
 			this.logError('discoveryFailed', String(error));
 		}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -9,7 +9,8 @@
 import type { FleetInstance, PeerState, TargetLoad } from '../common/peerState.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
-import { computeDigest, encodeTargetList } from '../common/targetListDocument.js';
+import { StartupCatchUp } from '../common/startupCatchUp.js';
+import { encodeTargetList } from '../common/targetListDocument.js';
 import type { TargetState } from '../common/targetState.js';
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
@@ -22,6 +23,7 @@
 import { PromptCacheSync } from './promptCacheSync.js';
 import { Shutdown } from './shutdown.js';
 import { TargetClient } from './targetClient.js';
+import type { TargetChangeSource } from './targetListSync.js';
 import { TargetListSync } from './targetListSync.js';
 
 /** Interval of the periodic work of all components. */
@@ -37,6 +39,8 @@
 	readonly retries: RetryBudgetSettings;
 	/** Time between the signal to stop and the kill, in ms. */
 	readonly graceMs: number;
+	/** Whether the whole fleet starts for the first time, so that no peer knows more than the store. */
+	readonly isFirstStart: boolean;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
 }
@@ -86,11 +90,13 @@
 	private readonly configurationSync: ConfigurationSync;
 	private readonly targetListSync: TargetListSync;
 	private readonly promptCacheSync: PromptCacheSync;
-	private targetsDigest = 0;
+	private readonly catchUp = new StartupCatchUp(performance.now());
+	private isCaughtUp: boolean;
 	private wasServing = false;
 
 	constructor(private readonly dependencies: GatewayDependencies) {
 		const { settings, store, codec, log } = dependencies;
+		this.isCaughtUp = settings.isFirstStart;
 		this.targets = new TargetTable(settings.self.zone);
 		this.retries = new RetryBudgets(settings.retries);
 		this.metrics = new GatewayMetrics(() => ({
@@ -109,6 +115,13 @@
 				this.metrics.countDecision('crossedAnswer');
 				log.write('decision', 'crossedAnswer', { id: attemptId, target });
 			},
+			onTargetLeaving: ({ record }) => {
+				this.targetListSync.recordLeaving(record);
+			},
+			onBackOffRequested: ({ record }, request) => {
+				this.metrics.countDecision('targetBackOff');
+				log.write('decision', 'targetBackOff', { target: record.id, ...request });
+			},
 		});
 		this.crashTracker = new CrashTracker({
 			log,
@@ -119,7 +132,7 @@
 		});
 		this.server = new CallerServer({
 			address: settings.self.callersAddress,
-			readSnapshot: () => this.activeConfiguration.current,
+			readSnapshot: () => (this.isCaughtUp ? this.activeConfiguration.current : undefined),
 			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
 			exchange: {
 				codec,
@@ -149,6 +162,13 @@
 			store,
 			log,
 			describeSelf: () => this.describeSelf(),
+			describeLeft: () => ({
+				leaving: this.view.listRecentlyLeaving(),
+				removed: this.view.listRecentlyRemoved(),
+			}),
+			onDidContactPeers: () => {
+				this.catchUp.recordContact(performance.now());
+			},
 			onPeerState: (state) => {
 				this.handlePeerState(state);
 			},
@@ -170,8 +190,8 @@
 			view: this.view,
 			log,
 			readOwnRank: () => this.membership.peers.findRankAmongServing(performance.now()),
-			onDidChange: (change) => {
-				this.handleTargetChange(change);
+			onDidChange: (change, source) => {
+				this.handleTargetChange(change, source);
 			},
 			fetchFromPeer: (address) => this.membership.fetch(address, '/targets'),
 		});
@@ -219,6 +239,15 @@
 			this.membership.announce(performance.now());
 			this.checkServing(performance.now());
 		});
+		this.dependencies.store.onDidRestore(({ previous, era }) => {
+			this.metrics.countDecision('storeRestored');
+			this.dependencies.log.write('state', 'storeRestored', {
+				previousEra: previous.era,
+				era,
+				knownRevision: previous.revision,
+				configurationVersion: this.activeConfiguration.version,
+			});
+		});
 		this.configurationSync.start();
 		await Promise.all([this.server.listen(), this.membership.listen()]);
 		const timer = setInterval(() => {
@@ -233,7 +262,12 @@
 	}
 
 	public isServing(): boolean {
-		return !this.shutdown.isStarted && this.activeConfiguration.version > 0 && this.view.revision > 0;
+		return (
+			!this.shutdown.isStarted &&
+			this.isCaughtUp &&
+			this.activeConfiguration.version > 0 &&
+			this.view.list !== undefined
+		);
 	}
 
 	public listEntryAddresses(): readonly string[] {
@@ -265,20 +299,39 @@
 
 	/** Gossips at once when this instance starts or stops serving. */
 	private checkServing(nowMs: number): void {
+		this.checkCaughtUp(nowMs);
 		if (this.isServing() === this.wasServing) {
 			return;
 		}
 		this.wasServing = this.isServing();
 		this.dependencies.log.write('state', this.wasServing ? 'serving' : 'notServing', {
 			configurationVersion: this.activeConfiguration.version,
-			targetsRevision: this.view.revision,
+			targetsRevision: this.view.list?.revision,
 		});
 		this.membership.announce(nowMs);
 		this.tickPromptCacheSync(nowMs);
 	}
 
+	private checkCaughtUp(nowMs: number): void {
+		const { version } = this.activeConfiguration;
+		if (this.isCaughtUp || version === 0) {
+			return;
+		}
+		const status = this.catchUp.getStatus(version, nowMs);
+		switch (status.kind) {
+			case 'waiting':
+				return;
+			case 'complete':
+				this.isCaughtUp = true;
+				if (status.isTimedOut) {
+					this.dependencies.log.write('state', 'catchUpTimedOut', { configurationVersion: version });
+				}
+				return;
+		}
+	}
+
 	private tickPromptCacheSync(nowMs: number): void {
-		if (this.activeConfiguration.version > 0 && this.view.revision > 0) {
+		if (this.activeConfiguration.version > 0 && this.view.list !== undefined) {
 			this.promptCacheSync.tick(nowMs);
 		}
 	}
@@ -294,9 +347,11 @@
 		return {
 			isServing: this.isServing(),
 			configurationVersion: this.activeConfiguration.version,
-			targetsRevision: this.view.revision,
-			targetsAgeMs: this.view.revision === 0 ? 0 : Math.round(this.view.computeAge(nowMs)),
-			targetsDigest: this.targetsDigest,
+			targetsRevision: this.view.list?.revision ?? 0,
+			storeEra: this.view.list?.era ?? 0,
+			targetsAgeMs: this.view.list === undefined ? 0 : Math.round(this.view.computeAge(nowMs)),
+			targetsDigest: this.view.digest,
+			leaving: this.view.listUnlistedLeaving(),
 			loads,
 			prompts: this.promptCacheSync.listRecentPrompts(nowMs),
 			promptTokens: this.promptCacheSync.countCachedTokens(),
@@ -308,12 +363,20 @@
 	private handlePeerState(state: PeerState): void {
 		const nowMs = performance.now();
 		const { instance, configurationVersion, targetsRevision, targetsAgeMs, targetsDigest } = state;
+		const era = state.storeEra ?? 0;
+		this.catchUp.recordPeer(state);
+		if (targetsRevision > 0) {
+			this.dependencies.store.observePeerEra(era);
+		}
 		this.configurationSync.handlePeerVersion(instance.controlAddress, configurationVersion);
-		const list = { revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
-		this.targetListSync.handlePeerList(instance.controlAddress, list, this.targetsDigest, nowMs);
+		const list = { era, revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
+		this.targetListSync.handlePeerList(instance.controlAddress, list, nowMs);
+		this.targetListSync.adoptLeaving(state.leaving ?? [], nowMs);
+		this.targetListSync.adoptRemoved(state.removed ?? [], nowMs);
 		this.promptCacheSync.adoptPrompts(state.prompts);
 		this.promptCacheSync.handlePeerState(state, nowMs);
 		this.crashTracker.adoptCrashes(state.crashes, nowMs);
+		this.checkServing(nowMs);
 	}
 
 	private getCacheCapacity(target: TargetState): number {
@@ -322,22 +385,24 @@
 		);
 	}
 
-	private handleTargetChange(change: TargetListChange): void {
+	private handleTargetChange(change: TargetListChange, source: TargetChangeSource): void {
 		this.targets.applyChange(change);
 		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
 			this.client.closePools(id);
 		}
-		this.targetsDigest = computeDigest(this.view.records);
-		this.membership.announce(performance.now());
+		if (source !== 'gossip') {
+			this.membership.announce(performance.now());
+		}
 		this.checkServing(performance.now());
 	}
 
 	private encodeTargets(): string | undefined {
-		if (this.view.revision === 0) {
+		const { list } = this.view;
+		if (list === undefined) {
 			return undefined;
 		}
 		return encodeTargetList({
-			list: { revision: this.view.revision, targets: this.view.records },
+			list,
 			ageMs: Math.round(this.view.computeAge(performance.now())),
 		});
 	}
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -7,6 +7,8 @@
 	HeaderCodec,
 } from '../common/gatewayRequest.js';
 import type { ResponseHead } from '../common/responseParser.js';
+import type { BackOffRequest } from '../common/targetBackOff.js';
+import { parseBackOff } from '../common/targetBackOff.js';
 import type { TargetState } from '../common/targetState.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ConnectionFailure, ConnectionListener, TargetConnection } from './targetConnection.js';
@@ -18,6 +20,7 @@
  */
 const NON_REPEATABLE_IDLE_LIMIT_MS = 1000;
 const CRLF = '\r\n';
+const HTTP_SERVICE_UNAVAILABLE = 503;
 
 export interface CallListener {
 	/** Called right before the first byte of the request is written. */
@@ -42,6 +45,10 @@
 	readonly onConnectionOpened: () => void;
 	/** Called when a response is dropped because it belongs to another request. */
 	readonly onCrossedResponse: (target: string, attemptId: string) => void;
+	/** Called when a target announces in a response that it leaves. */
+	readonly onTargetLeaving: (target: TargetState) => void;
+	/** Called when a target that rejects a request states, validly or not, for how long it wants no further one. */
+	readonly onBackOffRequested: (target: TargetState, request: BackOffRequest) => void;
 }
 
 export class TargetClient implements Disposable {
@@ -102,6 +109,10 @@
 		onFailure: (detail: string) => void,
 	): Promise<string | undefined> {
 		const { service, address } = target.record;
+		if (target.getBackOff(performance.now()) > 0) {
+			onFailure('the target wants no requests for now');
+			return Promise.resolve(undefined);
+		}
 		const limit = this.options.getConnectionLimit(service);
 		const connection = this.getPool(target).acquire(performance.now(), limit);
 		if (connection === undefined) {
@@ -181,10 +192,31 @@
 			this.options.onCrossedResponse(this.target.record.id, this.request.attemptId);
 			return;
 		}
+		if (!facts.isMisdirected) {
+			this.handleTargetState(head.status, facts, nowMs);
+		}
 		this.target.recordTimeToHead(nowMs - this.sentAtMs);
 		this.listener.onHead(head, facts);
 	}
 
+	/** Handles what the target says of itself. It applies to the start of the target that the request was sent to. */
+	private handleTargetState(status: number, facts: TargetResponseInfo, nowMs: number): void {
+		const { onBackOffRequested, onTargetLeaving } = this.options;
+		if (facts.isLeaving) {
+			onTargetLeaving(this.target);
+		}
+		if (status !== HTTP_SERVICE_UNAVAILABLE) {
+			return;
+		}
+		const request = parseBackOff(facts.retryAfter);
+		if (request.kind === 'wait') {
+			this.target.recordBackOff(nowMs + request.waitMs);
+		}
+		if (request.kind !== 'none') {
+			onBackOffRequested(this.target, request);
+		}
+	}
+
 	public onBody(chunk: Buffer): void {
 		this.target.recordActivity(performance.now());
 		if (!this.isCrossed) {
--- a/packages/gateway/src/node/targetListSync.ts
+++ b/packages/gateway/src/node/targetListSync.ts
@@ -3,10 +3,14 @@
  * its list has not been confirmed, by its own read or by a peer, for a time that grows with its rank.
  */
 import type { Disposable } from '@papayawell/core';
+import type { TargetStart } from '../common/targetStarts.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import { describeError } from '../common/metadataStore.js';
+import { describeError, StoreError } from '../common/metadataStore.js';
+import { comparePositions } from '../common/storePosition.js';
+import type { StorePosition } from '../common/storePosition.js';
 import { decodeTargetList } from '../common/targetListDocument.js';
+import type { TargetRecord } from '../common/targetRecord.js';
 import type { ListedTargets, ListSource, TargetView, TargetListChange } from '../common/targetView.js';
 import { isEmptyChange } from '../common/targetView.js';
 
@@ -21,12 +25,22 @@
 /** Maximum back-off before the first list, while no request can be served. */
 const MAX_STARTUP_BACKOFF_MS = 200;
 
+/** What changed the targets: a list, the end of a grace period, or the announcement of a target that it leaves. */
+export type TargetChangeSource = ListSource | 'expiry' | 'response' | 'gossip';
+
+/** The list of targets that a peer has. */
+export interface PeerList extends StorePosition {
+	readonly digest: number;
+	/** Time since the store confirmed the list, in ms. */
+	readonly ageMs: number;
+}
+
 export interface TargetListSyncParts {
 	readonly store: MetadataStore;
 	readonly view: TargetView;
 	readonly log: EventLog;
 	readonly readOwnRank: () => number;
-	readonly onDidChange: (change: TargetListChange) => void;
+	readonly onDidChange: (change: TargetListChange, source: TargetChangeSource) => void;
 	/** Fetches the target list of a peer; undefined if the peer does not answer. */
 	readonly fetchFromPeer: (controlAddress: string) => Promise<string | undefined>;
 }
@@ -57,23 +71,24 @@
 		}
 	}
 
-	/** Handles the state of a peer's list: an equal list confirms this one, a different and newer one is fetched. */
-	public handlePeerList(
-		controlAddress: string,
-		peer: { readonly revision: number; readonly digest: number; readonly ageMs: number },
-		ownDigest: number,
-		nowMs: number,
-	): void {
+	/**
+	 * Handles the state of a peer's list: an equal list confirms this one, a different and newer one is fetched. A list
+	 * that was read before the store was restored neither confirms nor replaces one that was read after it.
+	 */
+	public handlePeerList(controlAddress: string, peer: PeerList, nowMs: number): void {
 		const { view } = this.parts;
-		const confirmedAtMs = nowMs - peer.ageMs;
-		if (peer.revision === 0) {
+		const { list } = view;
+		if (peer.revision === 0 || (list !== undefined && peer.era < list.era)) {
 			return;
 		}
-		if (peer.digest === ownDigest) {
-			view.recordConfirmation(confirmedAtMs);
+		if (peer.era === list?.era && peer.digest === view.digest) {
+			view.recordConfirmation(nowMs - peer.ageMs);
 			return;
 		}
-		const isNewer = peer.revision > view.revision && peer.ageMs < view.computeAge(nowMs);
+		const isNewer =
+			list === undefined ||
+			peer.era > list.era ||
+			(comparePositions(peer, list) > 0 && peer.ageMs < view.computeAge(nowMs));
 		if (isNewer && !this.isFetching) {
 			this.isFetching = true;
 			void this.fetch(controlAddress).finally(() => {
@@ -82,6 +97,25 @@
 		}
 	}
 
+	/** Adopts the announcements of targets that they leave, which a peer has received. */
+	public adoptLeaving(leaving: readonly TargetStart[], nowMs: number): void {
+		for (const target of leaving) {
+			this.publishChange(this.parts.view.recordLeaving(target, nowMs), 'gossip');
+		}
+	}
+
+	/** Adopts the starts whose entries a peer knows to be removed. */
+	public adoptRemoved(removed: readonly TargetStart[], nowMs: number): void {
+		if (removed.length > 0) {
+			this.publishChange(this.parts.view.recordRemoved(removed, nowMs), 'gossip');
+		}
+	}
+
+	/** Records the announcement of a target, in one of its responses, that it leaves. */
+	public recordLeaving({ id, startedAtMs }: TargetRecord): void {
+		this.publishChange(this.parts.view.recordLeaving([id, startedAtMs], performance.now()), 'response');
+	}
+
 	public dispose(): void {
 		this.abortController.abort();
 	}
@@ -108,7 +142,11 @@
 			this.updateStoreStatus(undefined);
 			this.apply(list, 'store', startedAtMs);
 		} catch (error) {
-			const maxBackoffMs = this.parts.view.revision === 0 ? MAX_STARTUP_BACKOFF_MS : MAX_BACKOFF_MS;
+			if (error instanceof StoreError && error.kind === 'restored') {
+				// The store answers; the next tick reads the list of the new era.
+				return;
+			}
+			const maxBackoffMs = this.parts.view.list === undefined ? MAX_STARTUP_BACKOFF_MS : MAX_BACKOFF_MS;
 			this.backoffMs = Math.min(maxBackoffMs, Math.max(INITIAL_BACKOFF_MS, this.backoffMs * 2));
 			this.backoffUntilMs = performance.now() + this.backoffMs;
 			this.updateStoreStatus(error);
@@ -119,14 +157,15 @@
 		this.publishChange(this.parts.view.apply(list, source, confirmedAtMs, performance.now()), source);
 	}
 
-	private publishChange(change: TargetListChange, source: ListSource | 'expiry'): void {
+	private publishChange(change: TargetListChange, source: TargetChangeSource): void {
 		if (isEmptyChange(change)) {
 			return;
 		}
 		const { log, view, onDidChange } = this.parts;
 		log.write('state', 'targetsChanged', {
 			source,
-			revision: view.revision,
+			era: view.list?.era,
+			revision: view.list?.revision,
 			added: change.added.map(({ id }) => id).join(' '),
 			leaving: change.changed
 				.filter(({ isLeaving }) => isLeaving)
@@ -135,7 +174,7 @@
 			removed: change.removed.map(({ id }) => id).join(' '),
 			targets: view.records.length,
 		});
-		onDidChange(change);
+		onDidChange(change, source);
 	}
 
 	private updateStoreStatus(error: unknown): void {
@@ -145,7 +184,7 @@
 			this.parts.log.write('state', isLost ? 'storeLost' : 'storeRegained', {
 				user: 'targets',
 				targetsAgeMs:
-					this.parts.view.revision === 0
+					this.parts.view.list === undefined
 						? undefined
 						: Math.round(this.parts.view.computeAge(performance.now())),
 				detail: describeError(error),
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -31,6 +31,26 @@
 		}
 	});
 
+	it('does not choose a target that wants no requests, even if there is no other, until its time is over', () => {
+		const table = makeTable('x', 'y');
+		table.find('x')?.recordBackOff(1000);
+		expect(choose(table, {}, 500)).to.equal('y');
+		expect(choose(table, { excluded: new Set(['y']) }, 500)).to.equal(undefined);
+		expect(table.computeBackOff('engines', 500)).to.equal(0);
+		table.find('y')?.recordBackOff(800);
+		expect(choose(table, {}, 500)).to.equal(undefined);
+		expect(table.computeBackOff('engines', 500)).to.equal(300);
+		expect(choose(table, { excluded: new Set(['y']) }, 1000)).to.equal('x');
+	});
+
+	it('a response of a target that wants no requests does not end that time', () => {
+		const table = makeTable('x');
+		table.find('x')?.recordBackOff(1000);
+		table.find('x')?.recordBackOff(600);
+		table.find('x')?.health.recordResponse(false);
+		expect(choose(table, {}, 900)).to.equal(undefined);
+	});
+
 	it('does not choose an unreachable target until its suspension is over', () => {
 		const table = makeTable('x', 'y');
 		table.find('x')?.health.recordConnectionFailure(0, true);
