Let a large fleet know of cached prompts, and agree where new ones go

Placements of 12 s, logged and replayed offline: 1.28 million tokens of chats' parts read again, nine tenths of them by instances that knew no engine with the part. An update about a cached part was sent for 700 ms, but a cycle over 78 peers takes 1.2 s; and an instance that does not know passes over the engine that the hash selects when its load is above the limit of prompts that are cached nowhere.

Change: an update is kept for two messages to each peer, however many there are. A prompt whose shared prefix is not known to be cached goes to the engine that its hash selects among all, within the load limit of cached prompts.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -55,6 +55,8 @@
 	readonly target: TargetState;
 	readonly cachedTokens: number;
 	readonly isWithinLoadLimit: boolean;
+	/** Whether the engine is within the load limit of a prompt that it has cached. */
+	readonly isWithinCachedLoadLimit: boolean;
 	/** Whether the engine can prefill the prompt within its share of the latency objective. */
 	readonly isWithinObjective: boolean;
 	/** Tokens to prefill before the first event, including those of the prompts queued before. */
@@ -102,10 +104,26 @@
 	}
 	const cached = findMostCached(withinObjective);
 	const isSharedPrefixCached = cached.cachedTokens >= countSharedTokens(chain);
-	const choice = isSharedPrefixCached ? cached : pickByPrefixHash(withinObjective, candidates.length, chain);
+	const choice = isSharedPrefixCached ? cached : chooseUncached(candidates, withinObjective, chain);
 	return { ...choice, isOverflow: choice.cachedTokens < findMostCached(candidates).cachedTokens };
 }
 
+/**
+ * Chooses an engine for a prompt whose shared prefix no engine is known to have cached. Another instance may have
+ * placed the prefix a moment ago, which this one has not heard of yet. It is then cached on the engine that its hash
+ * selects among all, so that one is chosen even if it is only within the load limit of cached prompts.
+ */
+function chooseUncached(
+	candidates: readonly Candidate[],
+	withinObjective: readonly Candidate[],
+	chain: PromptChain,
+): Candidate {
+	const home = pickByPrefixHash(candidates, candidates.length, chain);
+	return home.isWithinCachedLoadLimit && home.isWithinObjective
+		? home
+		: pickByPrefixHash(withinObjective, candidates.length, chain);
+}
+
 /** Returns the candidate with the most cached tokens; among equals the one with the lowest load. */
 function findMostCached(candidates: readonly Candidate[]): Candidate {
 	return candidates.reduce((best, candidate) => {
@@ -147,14 +165,16 @@
 	const savedShare = Math.min(1, cachedTokens / MAX_LIMIT_CACHED_TOKENS);
 	const loadFactor = BASE_LOAD_FACTOR + (MAX_LOAD_FACTOR - BASE_LOAD_FACTOR) * savedShare;
 	const loadSlack = BASE_LOAD_SLACK + (MAX_LOAD_SLACK - BASE_LOAD_SLACK) * savedShare;
-	const loadLimit = Math.min(target.record.slots, loadFactor * meanLoad + loadSlack);
+	const { load } = target;
+	const { slots } = target.record;
 	const uncachedTokens = countTokens(prompt) - cachedTokens;
 	const fetchSavingTokens = (1 - FETCH_TIME_RATIO) * countFetchedTokens(source, cachedTokens);
 	const prefillTokens = target.prefillTokens + uncachedTokens - fetchSavingTokens;
 	return {
 		target,
 		cachedTokens,
-		isWithinLoadLimit: target.load + 1 <= loadLimit,
+		isWithinLoadLimit: load + 1 <= Math.min(slots, loadFactor * meanLoad + loadSlack),
+		isWithinCachedLoadLimit: load + 1 <= Math.min(slots, MAX_LOAD_FACTOR * meanLoad + MAX_LOAD_SLACK),
 		isWithinObjective: prefillTokens <= PREFILL_OBJECTIVE_SHARE * objectiveMs * PREFILL_TOKENS_PER_MS,
 		prefillTokens,
 	};
--- a/packages/gateway/src/common/promptUpdateBuffer.ts
+++ b/packages/gateway/src/common/promptUpdateBuffer.ts
@@ -1,20 +1,25 @@
 /** Buffers the prompts that are new to an engine until they have been gossiped to the other instances. */
+import { computePeerInterval } from './gossipInterval.js';
 import type { PromptUpdate } from './peerState.js';
 import type { CachedLink, PromptChain } from './promptChain.js';
 import { listSharedLinks } from './promptChain.js';
 
-/** Time-to-live of an update: two gossip rounds, since a message may be lost. */
-const UPDATE_TTL_MS = 700;
+/** Each peer receives an update in this many messages, since a message may be lost. */
+const MESSAGES_PER_UPDATE = 2;
+/** Added to the time-to-live of an update, since rounds begin late on a busy instance. */
+const ROUND_DELAY_MS = 100;
 /** Most recent updates that a message contains; peers receive the omitted ones with a snapshot. */
-const MAX_UPDATES = 60;
+const MAX_UPDATES = 150;
 
 export class PromptUpdateBuffer {
 	private entries: { readonly update: PromptUpdate; readonly expiresAtMs: number }[] = [];
 
-	public add(target: string, chain: PromptChain, nowMs: number): void {
+	/** @param peers number of peers that are to receive the update */
+	public add(target: string, chain: PromptChain, peers: number, nowMs: number): void {
 		const links = listSharedLinks(chain).flatMap(({ hash, tokens }) => [hash, tokens]);
 		const update = { target, links };
-		this.entries.push({ update, expiresAtMs: nowMs + UPDATE_TTL_MS });
+		const ttlMs = MESSAGES_PER_UPDATE * computePeerInterval(peers) + ROUND_DELAY_MS;
+		this.entries.push({ update, expiresAtMs: nowMs + ttlMs });
 	}
 
 	public list(nowMs: number): readonly PromptUpdate[] {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -207,6 +207,7 @@
 				this.membership.announce(performance.now());
 			},
 			readOwnRank: () => this.membership.peers.findRankAmongLive(performance.now()),
+			countPeers: () => this.membership.peers.listAll().length,
 		});
 		this.shutdown = new Shutdown({
 			server: this.server,
--- a/packages/gateway/src/node/promptCacheSync.ts
+++ b/packages/gateway/src/node/promptCacheSync.ts
@@ -59,6 +59,7 @@
 	readonly onDidChangeKnowledge: () => void;
 	/** Rank of this instance among all instances. */
 	readonly readOwnRank: () => number;
+	readonly countPeers: () => number;
 }
 
 /** Knowledge of the prefix caches that a peer advertises. */
@@ -114,7 +115,7 @@
 	/** Records that this instance sent a prompt to a target. */
 	public recordPlacement(target: TargetState, prompt: PromptChain, nowMs: number): void {
 		if (target.prefixCache.recordPrompt(prompt, this.parts.getCacheCapacity(target))) {
-			this.recentPrompts.add(target.record.id, prompt, nowMs);
+			this.recentPrompts.add(target.record.id, prompt, this.parts.countPeers(), nowMs);
 		}
 	}
 
--- a/packages/gateway/test/common/cacheAwarePlacement.test.ts
+++ b/packages/gateway/test/common/cacheAwarePlacement.test.ts
@@ -60,6 +60,17 @@
 		}
 	});
 
+	it('a prompt that another instance has just placed: goes to the same engine before this instance hears of it', () => {
+		const prompt = makePrompt('a1', 'b1', '1');
+		const seenByOne = makeEngines([4, 4, 4, 4, 4, 4, 4, 4]);
+		const index = seenByOne.indexOf(place(seenByOne, prompt).target);
+		// The other instance sees more load on that engine: above the limit of new prompts, within that of cached ones.
+		const seenByTwo = makeEngines(
+			[4, 4, 4, 4, 4, 4, 4, 4].map((load, engine) => (engine === index ? 7 : load)),
+		);
+		expect(seenByTwo.indexOf(place(seenByTwo, makePrompt('a1', 'b1', '2')).target)).to.equal(index);
+	});
+
 	it('hot prefix: overflows to an engine that fetches the cached prompt instead of prefilling it', () => {
 		const engines = makeEngines([0, 0, 0, 0]);
 		const hot = makePrompt('a1', 'b1', '1');
--- a/packages/gateway/test/node/promptCacheSync.test.ts
+++ b/packages/gateway/test/node/promptCacheSync.test.ts
@@ -57,6 +57,7 @@
 		},
 		onDidChangeKnowledge: () => undefined,
 		readOwnRank: () => rank,
+		countPeers: () => 3,
 	});
 	return { targets, sync, events, queriedEngines };
 }
