Spread prompts that are too long for their objective

Of the 64 late prompts of 12 s, logged, nearly all were longer than the prefill that fits half of the objective, so no engine was within it, and the engine with the least to prefill was taken: the first of the list at every instance at once, and later the one that all of them saw as idle. Many of Tuul's full drafts are that long as well.

Change: if no engine is within the limit, those that come close to the shortest wait take its place, and the prompt is placed among them as any other: where it is cached, else by its hash. The model draws long chats and counts late prompts.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -25,6 +25,8 @@
 const PREFILL_TOKENS_PER_MS = 25;
 /** Share of the latency objective that prefill may take, including the prompts queued before this one. */
 const PREFILL_OBJECTIVE_SHARE = 0.5;
+/** How much more than on the engine with the shortest wait a long prompt may wait, as a share of the limit. */
+const LONG_PROMPT_MARGIN_SHARE = 0.4;
 
 /** Time to fetch cached tokens from another engine, relative to the time to prefill them. */
 const FETCH_TIME_RATIO = 0.3;
@@ -57,8 +59,6 @@
 	readonly isWithinLoadLimit: boolean;
 	/** Whether the engine is within the load limit of a prompt that it has cached. */
 	readonly isWithinCachedLoadLimit: boolean;
-	/** Whether the engine can prefill the prompt within its share of the latency objective. */
-	readonly isWithinObjective: boolean;
 	/** Tokens to prefill before the first event, including those of the prompts queued before. */
 	readonly prefillTokens: number;
 }
@@ -81,8 +81,8 @@
 	meanLoad: number,
 ): CacheChoice | undefined {
 	const source = findSource(sources, request.prompt);
-	const candidates = targets.map((target) => buildCandidate(target, request, source, meanLoad));
-	const choice = chooseCandidate(candidates, request.prompt);
+	const candidates = targets.map((target) => buildCandidate(target, request.prompt, source, meanLoad));
+	const choice = chooseCandidate(candidates, request);
 	if (choice === undefined) {
 		return undefined;
 	}
@@ -92,22 +92,33 @@
 
 function chooseCandidate(
 	candidates: readonly Candidate[],
-	chain: PromptChain,
+	{ prompt: chain, objectiveMs }: CacheRequest,
 ): Omit<CacheChoice, 'cacheSource'> | undefined {
 	const withinLoadLimit = candidates.filter(({ isWithinLoadLimit }) => isWithinLoadLimit);
 	if (withinLoadLimit.length === 0) {
 		return findLowest(candidates, ({ target }) => target.load);
 	}
-	const withinObjective = withinLoadLimit.filter(({ isWithinObjective }) => isWithinObjective);
-	if (withinObjective.length === 0) {
-		return findLowest(withinLoadLimit, ({ prefillTokens }) => prefillTokens);
-	}
+	const prefillLimit = computePrefillLimit(withinLoadLimit, objectiveMs);
+	const withinObjective = withinLoadLimit.filter(({ prefillTokens }) => prefillTokens <= prefillLimit);
 	const cached = findMostCached(withinObjective);
 	const isSharedPrefixCached = cached.cachedTokens >= countSharedTokens(chain);
-	const choice = isSharedPrefixCached ? cached : chooseUncached(candidates, withinObjective, chain);
+	const choice = isSharedPrefixCached
+		? cached
+		: chooseUncached(candidates, withinObjective, prefillLimit, chain);
 	return { ...choice, isOverflow: choice.cachedTokens < findMostCached(candidates).cachedTokens };
 }
 
+/**
+ * Returns how many tokens an engine may have to prefill before the first event. A prompt that is too long for its
+ * objective on every engine is placed like the others among those that come close to the shortest wait: the engine
+ * with the shortest one seems the same to all instances, so that they would all choose it at once.
+ */
+function computePrefillLimit(candidates: readonly Candidate[], objectiveMs: number): number {
+	const limit = PREFILL_OBJECTIVE_SHARE * objectiveMs * PREFILL_TOKENS_PER_MS;
+	const lowest = candidates.reduce((least, { prefillTokens }) => Math.min(least, prefillTokens), Infinity);
+	return lowest <= limit ? limit : lowest + LONG_PROMPT_MARGIN_SHARE * limit;
+}
+
 /**
  * Chooses an engine for a prompt whose shared prefix no engine is known to have cached. Another instance may have
  * placed the prefix a moment ago, which this one has not heard of yet. It is then cached on the engine that its hash
@@ -116,10 +127,11 @@
 function chooseUncached(
 	candidates: readonly Candidate[],
 	withinObjective: readonly Candidate[],
+	prefillLimit: number,
 	chain: PromptChain,
 ): Candidate {
 	const home = pickByPrefixHash(candidates, candidates.length, chain);
-	return home.isWithinCachedLoadLimit && home.isWithinObjective
+	return home.isWithinCachedLoadLimit && home.prefillTokens <= prefillLimit
 		? home
 		: pickByPrefixHash(withinObjective, candidates.length, chain);
 }
@@ -157,7 +169,7 @@
 
 function buildCandidate(
 	target: TargetState,
-	{ prompt, objectiveMs }: CacheRequest,
+	prompt: PromptChain,
 	source: CacheSource | undefined,
 	meanLoad: number,
 ): Candidate {
@@ -175,7 +187,6 @@
 		cachedTokens,
 		isWithinLoadLimit: load + 1 <= Math.min(slots, loadFactor * meanLoad + loadSlack),
 		isWithinCachedLoadLimit: load + 1 <= Math.min(slots, MAX_LOAD_FACTOR * meanLoad + MAX_LOAD_SLACK),
-		isWithinObjective: prefillTokens <= PREFILL_OBJECTIVE_SHARE * objectiveMs * PREFILL_TOKENS_PER_MS,
 		prefillTokens,
 	};
 }
--- a/packages/gateway/test/common/cacheAwarePlacement.test.ts
+++ b/packages/gateway/test/common/cacheAwarePlacement.test.ts
@@ -71,6 +71,33 @@
 		expect(seenByTwo.indexOf(place(seenByTwo, makePrompt('a1', 'b1', '2')).target)).to.equal(index);
 	});
 
+	it('cold start with long prompts: instances that know of no load do not all choose the same engine', () => {
+		const used = new Set<number>();
+		for (let conversation = 0; conversation < 20; conversation++) {
+			const engines = makeEngines([0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]);
+			const prompt = buildPromptChain([
+				{ id: 'a1', tokens: 2500 },
+				{ id: `b${conversation}`, tokens: 14_000 },
+				{ id: `c${conversation}`, tokens: 500 },
+			]);
+			used.add(engines.indexOf(place(engines, prompt).target));
+		}
+		// A third of the engines serve prompts with the same root.
+		expect(used.size).to.equal(5);
+	});
+
+	it('long prompt: does not wait for an engine that has much more to prefill than the others', () => {
+		const engines = makeEngines([0, 0, 0, 0]);
+		const prompt = makePrompt('a1', 'b1', '1');
+		const home = place(makeEngines([0, 0, 0, 0]), prompt, 300).target.record.id;
+		const busy = engines.find(({ record }) => record.id === home);
+		expect(busy).not.to.equal(undefined);
+		if (busy !== undefined) {
+			busy.ownPrefillTokens = 20_000;
+		}
+		expect(place(engines, prompt, 300).target.record.id).not.to.equal(home);
+	});
+
 	it('hot prefix: overflows to an engine that fetches the cached prompt instead of prefilling it', () => {
 		const engines = makeEngines([0, 0, 0, 0]);
 		const hot = makePrompt('a1', 'b1', '1');
--- a/packages/gateway/test/model/fleetModel.ts
+++ b/packages/gateway/test/model/fleetModel.ts
@@ -34,6 +34,8 @@
 	readonly highestLoadShare: number;
 	/** Mean time until the first token, in ms. */
 	readonly meanFirstTokenMs: number;
+	/** Share of the requests whose first token is later than the latency objective. */
+	readonly lateShare: number;
 }
 
 const TICK_MS = 100;
@@ -41,6 +43,8 @@
 const ROOTS = 58;
 const MEAN_ROOT_TOKENS = 1200;
 const MEAN_CHAT_TOKENS = 3200;
+const MIN_CHAT_TOKENS = 100;
+const MAX_CHAT_TOKENS = 18_000;
 const OWN_TOKENS = 400;
 /** Share of the requests that begin a new chat; the others return to a recent one. */
 const NEW_CHAT_SHARE = 0.42;
@@ -96,6 +100,7 @@
 	private fetchedTokens = 0;
 	private highestLoadShare = 0;
 	private firstTokenMs = 0;
+	private late = 0;
 	private requests = 0;
 
 	constructor(private readonly options: FleetModelOptions) {
@@ -148,7 +153,16 @@
 		}
 		const { readTokens, rootsReadAgain, chatsReadAgain, fetchedTokens, highestLoadShare } = this;
 		const meanFirstTokenMs = this.firstTokenMs / this.requests;
-		return { readTokens, rootsReadAgain, chatsReadAgain, fetchedTokens, highestLoadShare, meanFirstTokenMs };
+		const lateShare = this.late / this.requests;
+		return {
+			readTokens,
+			rootsReadAgain,
+			chatsReadAgain,
+			fetchedTokens,
+			highestLoadShare,
+			meanFirstTokenMs,
+			lateShare,
+		};
 	}
 
 	private makePrompts(table: TargetTable): PromptCacheSync {
@@ -202,6 +216,7 @@
 		const firstTokenAtMs = Math.max(this.nowMs, engine.prefillFreeAtMs) + unread / PREFILL_TOKENS_PER_MS;
 		engine.prefillFreeAtMs = firstTokenAtMs;
 		this.firstTokenMs += firstTokenAtMs - this.nowMs;
+		this.late += firstTokenAtMs - this.nowMs > OBJECTIVE_MS ? 1 : 0;
 		this.schedule(firstTokenAtMs - this.nowMs, () => {
 			target.ownPrefillTokens -= prefillTokens;
 		});
@@ -298,7 +313,7 @@
 		this.chatCount += 1;
 		const part = {
 			id: `b${this.chatCount}`,
-			tokens: Math.round(MEAN_CHAT_TOKENS * (0.2 + 1.6 * this.random())),
+			tokens: this.pickChatTokens(),
 		};
 		const chat = { root, part };
 		this.recentChats.push(chat);
@@ -306,6 +321,12 @@
 		return chat;
 	}
 
+	/** Most chats are short, and a few hold a whole dossier. */
+	private pickChatTokens(): number {
+		const tokens = -Math.log(1 - this.random()) * MEAN_CHAT_TOKENS;
+		return Math.round(Math.min(MAX_CHAT_TOKENS, Math.max(MIN_CHAT_TOKENS, tokens)));
+	}
+
 	private schedule(delayMs: number, work: () => void): void {
 		const tick = Math.floor(this.nowMs / TICK_MS) + Math.max(1, Math.round(delayMs / TICK_MS));
 		const works = this.agenda.get(tick) ?? [];
