Compress the state that instances of a large fleet gossip

Change: states of 1,000 bytes or more are deflated with a dictionary, for peers that say that they read it; others get JSON, so versions may be mixed.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -31,6 +31,8 @@
 
 export interface PeerState {
 	readonly instance: FleetInstance;
+	/** Whether this instance reads compressed states; undefined from instances of an older version. */
+	readonly acceptsCompressed?: boolean;
 	/** Whether callers may be directed to this instance. */
 	readonly isServing: boolean;
 	readonly configurationVersion: number;
@@ -62,6 +64,9 @@
 	readonly known: readonly string[];
 }
 
+/** The part of the state that a gateway describes; its membership of the fleet adds the rest. */
+export type GatewayState = Omit<PeerState, 'acceptsCompressed' | 'known' | 'instance'>;
+
 /** Target, requests in flight on it, and prompt tokens that it still has to prefill for them. */
 export type TargetLoad = readonly [id: string, requests: number, prefillTokens: number];
 
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import { GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { FleetInstance, PeerState } from '../common/peerState.js';
+import type { FleetInstance, GatewayState, PeerState } from '../common/peerState.js';
 import { PeerTable } from '../common/peerTable.js';
 import { PeerTransport } from './peerTransport.js';
 
@@ -34,7 +34,7 @@
 	readonly store: MetadataStore;
 	readonly log: EventLog;
 	/** Returns the state to advertise now, without the addresses of peers. */
-	readonly describeSelf: () => Omit<PeerState, 'known' | 'instance'>;
+	readonly describeSelf: () => GatewayState;
 	/** Describes what this instance knows of targets that left, for an instance that starts. */
 	readonly describeLeft: () => Pick<PeerState, 'leaving' | 'removed'>;
 	/** Called when the peers that the seeds and the store name have been sent a datagram. */
@@ -118,7 +118,7 @@
 			}
 		}
 		addresses.delete(this.parts.self.controlAddress);
-		this.transport.send(state, [...addresses]);
+		this.transport.send(state, [...addresses], this.listCompressedAddresses());
 	}
 
 	public fetch(controlAddress: string, path: string): Promise<string | undefined> {
@@ -130,6 +130,11 @@
 		this.transport.dispose();
 	}
 
+	private listCompressedAddresses(): ReadonlySet<string> {
+		const peers = this.peers.listAll().filter(({ acceptsCompressed }) => acceptsCompressed === true);
+		return new Set(peers.map(({ instance }) => instance.controlAddress));
+	}
+
 	private listPeerAddresses(): readonly string[] {
 		return this.peers.listAll().map(({ instance }) => instance.controlAddress);
 	}
@@ -138,6 +143,7 @@
 	private buildState(known: readonly string[]): PeerState {
 		return {
 			...this.parts.describeSelf(),
+			acceptsCompressed: true,
 			instance: this.parts.self,
 			known: sampleAddresses(known, MAX_GOSSIPED_ADDRESSES, Math.random()),
 		};
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { FleetInstance, PeerState, TargetLoad } from '../common/peerState.js';
+import type { FleetInstance, GatewayState, PeerState, TargetLoad } from '../common/peerState.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
 import { StartupCatchUp } from '../common/startupCatchUp.js';
@@ -337,7 +337,7 @@
 		}
 	}
 
-	private describeSelf(): Omit<PeerState, 'known' | 'instance'> {
+	private describeSelf(): GatewayState {
 		const nowMs = performance.now();
 		const loads: TargetLoad[] = [];
 		for (const { record, ownRequests, ownPrefillTokens } of this.targets.all) {
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -10,6 +10,7 @@
 import { splitAddress } from '../common/addresses.js';
 import { GOSSIP_FAN_OUT } from '../common/gossipInterval.js';
 import type { PeerState } from '../common/peerState.js';
+import { decodePeerState, encodePeerState } from './peerStateCodec.js';
 import { listenAt } from './listenAt.js';
 
 /** Time-out of a fetch from a peer in the same region. */
@@ -58,14 +59,23 @@
 		await listenAt(this.server, this.options.address);
 	}
 
-	/** Sends a state to the given control addresses; in a large fleet, to as many of them as the fan-out allows. */
-	public send(state: PeerState, addresses: readonly string[]): void {
-		const bytes = Buffer.from(JSON.stringify(state));
-		if (bytes.length > MAX_DATAGRAM_BYTES) {
-			this.options.onError(`state not sent: ${bytes.length} bytes exceed the limit of ${MAX_DATAGRAM_BYTES}`);
+	/**
+	 * Sends a state to the given control addresses; in a large fleet, to as many of them as the fan-out allows.
+	 * @param compressedAddresses addresses of the instances that read compressed states
+	 */
+	public send(
+		state: PeerState,
+		addresses: readonly string[],
+		compressedAddresses: ReadonlySet<string> = new Set(),
+	): void {
+		const plain = encodePeerState(state, false);
+		const compressed = compressedAddresses.size > 0 ? encodePeerState(state, true) : plain;
+		if (plain.length > MAX_DATAGRAM_BYTES) {
+			this.options.onError(`state not sent: ${plain.length} bytes exceed the limit of ${MAX_DATAGRAM_BYTES}`);
 			return;
 		}
 		for (const address of this.selectRecipients(addresses)) {
+			const bytes = compressedAddresses.has(address) ? compressed : plain;
 			const { host, port } = splitAddress(address);
 			this.socket.send(bytes, port, host, (error) => {
 				if (error !== null) {
@@ -119,9 +129,9 @@
 	private handleDatagram(bytes: Buffer): void {
 		let state: unknown;
 		try {
-			state = JSON.parse(bytes.toString('utf8'));
+			state = decodePeerState(bytes);
 		} catch (error) {
-			this.options.onError(`datagram is not valid JSON: ${String(error)}`);
+			this.options.onError(`datagram cannot be decoded: ${String(error)}`);
 			return;
 		}
 		if (isPeerState(state)) {
