Take no answer without an id on a reused connection

A late second copy that named no attempt was taken for the answer to the next request on its connection: its caller got the body of another one, or was told that its request had not run. Change: on a connection that has carried a request before, an answer without an id is malformed: the connection is closed and the request counts as one that may have run.

--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -187,6 +187,12 @@
 		const nowMs = performance.now();
 		this.target.recordActivity(nowMs);
 		const facts = this.options.codec.readResponse(head.status, head.headers);
+		if (facts.attemptId === undefined && this.connection.isReused) {
+			// It may be a second copy of an earlier answer, so nothing that it says is taken for this request.
+			this.cancel();
+			this.listener.onFailure('malformed', true, 'an answer without an id on a reused connection');
+			return;
+		}
 		this.isCrossed = facts.attemptId !== undefined && facts.attemptId !== this.request.attemptId;
 		if (this.isCrossed) {
 			this.options.onCrossedResponse(this.target.record.id, this.request.attemptId);
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -45,6 +45,7 @@
 	private parser: ResponseParser | undefined;
 	private listener: ConnectionListener | undefined;
 	private isPersistent = true;
+	private hasCompletedRequest = false;
 	/** Undefined while the connection is busy or not established. */
 	private idleSinceMs: number | undefined;
 	private idleLimitMs: number;
@@ -86,6 +87,11 @@
 		});
 	}
 
+	/** Whether the connection has carried a request before the present one, whose answer may come a second time. */
+	public get isReused(): boolean {
+		return this.hasCompletedRequest;
+	}
+
 	/** Whether the connection can carry another request now. */
 	public isIdle(nowMs: number, idleLimitMs = this.idleLimitMs): boolean {
 		return (
@@ -202,6 +208,7 @@
 	/** Keeps the connection only if the request was written completely and no bytes follow its response. */
 	private finishRequest(hasSurplus: boolean): void {
 		this.parser = undefined;
+		this.hasCompletedRequest = true;
 		if (hasSurplus || !this.isPersistent || this.socket.writableLength > 0) {
 			this.markClosed();
 			return;
