Let a starting instance serve as soon as its peers had time to answer

The wait for peers was checked every 100 ms only, and an answer of the store to the list of instances was needed, so that a store that turns that call away kept an instance from serving for a second. A query of the target view changed its state. Change: the wait is 30 ms from the datagrams, checked then; a failed listing counts as contact with the seeds. The view's marks are set in one place.

--- a/packages/gateway/src/common/startupCatchUp.ts
+++ b/packages/gateway/src/common/startupCatchUp.ts
@@ -5,7 +5,7 @@
 import type { PeerState } from './peerState.js';
 
 /** Time in which peers answer the first datagrams; they answer at once. */
-const PEER_ANSWER_MS = 50;
+export const PEER_ANSWER_MS = 30;
 /** Longest time for which an instance waits for its peers, so that an unreachable one does not keep it from serving. */
 const MAX_WAIT_MS = 1000;
 
--- a/packages/gateway/src/common/targetView.ts
+++ b/packages/gateway/src/common/targetView.ts
@@ -164,15 +164,25 @@
 		}
 	}
 
+	/**
+	 * Replaces the targets. Those that announced that they leave are marked as leaving, and so are those that were
+	 * removed before, while their entries may be those of an old copy of the store.
+	 */
 	private replace(listed: ReadonlyMap<string, TargetRecord>, nowMs: number): TargetListChange {
 		const added: TargetRecord[] = [];
 		const changed: TargetRecord[] = [];
 		const next = new Map<string, TargetRecord>();
+		const isHolding = nowMs < this.holdUntilMs;
 		this.hasHeldTargets = false;
 		for (const [id, listedRecord] of listed) {
-			const record = this.hasNoWork(listedRecord, nowMs)
-				? { ...listedRecord, isLeaving: true }
-				: listedRecord;
+			const { startedAtMs } = listedRecord;
+			const isHeld = isHolding && this.removedTargets.has(id, startedAtMs);
+			this.hasHeldTargets ||= isHeld;
+			if (!isHolding) {
+				this.removedTargets.remove(id);
+			}
+			const isOutOfUse = isHeld || this.leavingTargets.has(id, startedAtMs);
+			const record = isOutOfUse ? { ...listedRecord, isLeaving: true } : listedRecord;
 			next.set(id, record);
 			const known = this.targets.get(id);
 			if (known === undefined) {
@@ -189,22 +199,6 @@
 		this.targets = next;
 		return { added, changed, removed };
 	}
-
-	/** Whether a target announced that it leaves, or its entry may be that of an old copy of the store. */
-	private hasNoWork({ id, startedAtMs }: TargetRecord, nowMs: number): boolean {
-		if (this.leavingTargets.has(id, startedAtMs)) {
-			return true;
-		}
-		if (!this.removedTargets.has(id, startedAtMs)) {
-			return false;
-		}
-		if (nowMs < this.holdUntilMs) {
-			this.hasHeldTargets = true;
-			return true;
-		}
-		this.removedTargets.remove(id);
-		return false;
-	}
 }
 
 export function isEmptyChange({ added, changed, removed }: TargetListChange): boolean {
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -36,8 +36,8 @@
 	/** Returns the state to advertise now, without the addresses of peers. */
 	readonly describeSelf: () => GatewayState;
 	/** Describes what this instance knows of targets that left, for an instance that starts. */
-	readonly describeLeft: () => Pick<PeerState, 'leaving' | 'removed'>;
-	/** Called when the peers that the seeds and the store name have been sent a datagram. */
+	readonly describeDepartedTargets: () => Pick<PeerState, 'leaving' | 'removed'>;
+	/** Called when the peers that are known from the seeds, and from the store if it answers, were sent a datagram. */
 	readonly onDidContactPeers: () => void;
 	readonly onPeerState: (state: PeerState, previous: PeerState | undefined) => void;
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
@@ -169,7 +169,10 @@
 		const isStarted = previous?.instance.incarnation !== state.instance.incarnation;
 		if (isStarted) {
 			// An instance that just started waits for the versions of configuration, targets and prompts.
-			const answer = { ...this.buildState(this.listPeerAddresses()), ...this.parts.describeLeft() };
+			const answer = {
+				...this.buildState(this.listPeerAddresses()),
+				...this.parts.describeDepartedTargets(),
+			};
 			this.transport.send(answer, [controlAddress]);
 		}
 		if (isStarted || previous.isServing !== state.isServing) {
@@ -212,10 +215,10 @@
 			if (isNew && this.peers.listAll().length === 0) {
 				this.announce(nowMs);
 			}
-			this.parts.onDidContactPeers();
 		} catch (error) {
 			this.logError('discoveryFailed', String(error));
 		}
+		this.parts.onDidContactPeers();
 	}
 
 	private logError(event: string, detail: string): void {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -9,7 +9,7 @@
 import type { FleetInstance, GatewayState, PeerState, TargetLoad } from '../common/peerState.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
-import { StartupCatchUp } from '../common/startupCatchUp.js';
+import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
 import { encodeTargetList } from '../common/targetListDocument.js';
 import type { TargetState } from '../common/targetState.js';
 import { TargetTable } from '../common/targetTable.js';
@@ -162,12 +162,12 @@
 			store,
 			log,
 			describeSelf: () => this.describeSelf(),
-			describeLeft: () => ({
+			describeDepartedTargets: () => ({
 				leaving: this.view.listRecentlyLeaving(),
 				removed: this.view.listRecentlyRemoved(),
 			}),
 			onDidContactPeers: () => {
-				this.catchUp.recordContact(performance.now());
+				this.handlePeersContacted();
 			},
 			onPeerState: (state) => {
 				this.handlePeerState(state);
@@ -313,6 +313,21 @@
 		this.tickPromptCacheSync(nowMs);
 	}
 
+	/** Checks again when the peers have had time to answer, rather than at the next tick. */
+	private handlePeersContacted(): void {
+		this.catchUp.recordContact(performance.now());
+		if (!this.isCaughtUp) {
+			const timer = setTimeout(() => {
+				this.checkServing(performance.now());
+			}, PEER_ANSWER_MS);
+			this.disposables.add(
+				toDisposable(() => {
+					clearTimeout(timer);
+				}),
+			);
+		}
+	}
+
 	private checkCaughtUp(nowMs: number): void {
 		const { version } = this.activeConfiguration;
 		if (this.isCaughtUp || version === 0) {
