--- a/packages/gateway/test/model/returningChats.test.ts
+++ b/packages/gateway/test/model/returningChats.test.ts
@@ -8,6 +8,14 @@
 /** Share of the prompts that may miss the objective of their first token. */
 const MAX_LATE_SHARE = 0.005;
 
+const LARGE_FLEET = {
+	instances: 79,
+	engines: 109,
+	slots: 16,
+	cacheTokens: 256_000,
+	requestsPerSecond: 400,
+};
+
 function computeReadAgainShare({ rootsReadAgain, chatsReadAgain, readTokens }: FleetModelResult): number {
 	return (rootsReadAgain + chatsReadAgain) / readTokens;
 }
@@ -27,29 +35,13 @@
 	});
 
 	it('cold start of 79 instances: hardly any prompt is late', () => {
-		const result = runFleetModel({
-			instances: 79,
-			engines: 109,
-			slots: 16,
-			cacheTokens: 256_000,
-			requestsPerSecond: 400,
-			durationMs: 2000,
-			seed: 1,
-		});
+		const result = runFleetModel({ ...LARGE_FLEET, durationMs: 2000, seed: 1 });
 		expect(result.lateShare).to.be.below(MAX_LATE_SHARE);
 	});
 
 	for (const seed of [1, 2]) {
 		it(`few of their tokens are read again in a fleet of 79 instances (seed ${seed})`, () => {
-			const result = runFleetModel({
-				instances: 79,
-				engines: 109,
-				slots: 16,
-				cacheTokens: 256_000,
-				requestsPerSecond: 400,
-				durationMs: 15_000,
-				seed,
-			});
+			const result = runFleetModel({ ...LARGE_FLEET, durationMs: 15_000, seed });
 			expect(computeReadAgainShare(result)).to.be.below(MAX_READ_AGAIN_SHARE);
 		});
 	}
