Check the new fields of a peer's state before they are adopted

Cause: a second reading. Change: the codec that decodes a state checks it too; it was half in the transport. A state is turned into text once, not twice, when it is also sent compressed.

--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -19,18 +19,55 @@
 		'"incarnation":"","zone":"","callersAddress":"10.","controlAddress":"10."',
 );
 
-export function encodePeerState(state: PeerState, isCompressionAllowed: boolean): Buffer {
-	const bytes = Buffer.from(JSON.stringify(state));
-	return isCompressionAllowed && bytes.length >= MIN_COMPRESSED_BYTES
-		? Buffer.concat([Buffer.of(COMPRESSED_MARK), deflateRawSync(bytes, { dictionary: DICTIONARY })])
-		: bytes;
+export function encodePeerState(state: PeerState): Buffer {
+	return Buffer.from(JSON.stringify(state));
 }
 
-/** Throws if the bytes are not an encoded state; what the state holds is not checked. */
-export function decodePeerState(bytes: Buffer): unknown {
+/** Compresses an encoded state if it is large. */
+export function encodeCompressed(encoded: Buffer): Buffer {
+	return encoded.length >= MIN_COMPRESSED_BYTES
+		? Buffer.concat([Buffer.of(COMPRESSED_MARK), deflateRawSync(encoded, { dictionary: DICTIONARY })])
+		: encoded;
+}
+
+/** Decodes a state, compressed or not. Throws if the bytes hold none. */
+export function decodePeerState(bytes: Buffer): PeerState {
 	const text =
 		bytes[0] === COMPRESSED_MARK
 			? inflateRawSync(bytes.subarray(1), { dictionary: DICTIONARY, maxOutputLength: MAX_DECODED_BYTES })
 			: bytes;
-	return JSON.parse(text.toString('utf8'));
+	const state: unknown = JSON.parse(text.toString('utf8'));
+	if (!isPeerState(state)) {
+		throw new TypeError('not a valid peer state');
+	}
+	return state;
+}
+
+function isPeerState(value: unknown): value is PeerState {
+	const state = value as Partial<PeerState> | null;
+	return (
+		typeof state === 'object' &&
+		state !== null &&
+		typeof state.instance?.name === 'string' &&
+		typeof state.instance.controlAddress === 'string' &&
+		typeof state.configurationVersion === 'number' &&
+		typeof state.targetsRevision === 'number' &&
+		(state.storeEra === undefined || Number.isSafeInteger(state.storeEra)) &&
+		isOptionalTargetStarts(state.leaving) &&
+		isOptionalTargetStarts(state.removed) &&
+		Array.isArray(state.loads) &&
+		Array.isArray(state.crashes) &&
+		Array.isArray(state.prompts) &&
+		typeof state.promptTokens === 'number' &&
+		typeof state.promptKnowledge === 'string' &&
+		Array.isArray(state.known)
+	);
+}
+
+function isOptionalTargetStarts(value: unknown): boolean {
+	return value === undefined || (Array.isArray(value) && value.every(isTargetStart));
+}
+
+function isTargetStart(value: unknown): boolean {
+	return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1]);
 }
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -10,7 +10,7 @@
 import { splitAddress } from '../common/addresses.js';
 import { GOSSIP_FAN_OUT } from '../common/gossipInterval.js';
 import type { PeerState } from '../common/peerState.js';
-import { decodePeerState, encodePeerState } from './peerStateCodec.js';
+import { encodeCompressed, decodePeerState, encodePeerState } from './peerStateCodec.js';
 import { listenAt } from './listenAt.js';
 
 /** Time-out of a fetch from a peer in the same region. */
@@ -68,8 +68,8 @@
 		addresses: readonly string[],
 		compressedAddresses: ReadonlySet<string> = new Set(),
 	): void {
-		const plain = encodePeerState(state, false);
-		const compressed = compressedAddresses.size > 0 ? encodePeerState(state, true) : plain;
+		const plain = encodePeerState(state);
+		const compressed = compressedAddresses.size > 0 ? encodeCompressed(plain) : plain;
 		if (plain.length > MAX_DATAGRAM_BYTES) {
 			this.options.onError(`state not sent: ${plain.length} bytes exceed the limit of ${MAX_DATAGRAM_BYTES}`);
 			return;
@@ -127,35 +127,13 @@
 	}
 
 	private handleDatagram(bytes: Buffer): void {
-		let state: unknown;
+		let state: PeerState;
 		try {
 			state = decodePeerState(bytes);
 		} catch (error) {
 			this.options.onError(`datagram cannot be decoded: ${String(error)}`);
 			return;
 		}
-		if (isPeerState(state)) {
-			this.options.onState(state);
-		} else {
-			this.options.onError('datagram does not hold a valid peer state');
-		}
+		this.options.onState(state);
 	}
 }
-
-function isPeerState(value: unknown): value is PeerState {
-	const state = value as Partial<PeerState> | null;
-	return (
-		typeof state === 'object' &&
-		state !== null &&
-		typeof state.instance?.name === 'string' &&
-		typeof state.instance.controlAddress === 'string' &&
-		typeof state.configurationVersion === 'number' &&
-		typeof state.targetsRevision === 'number' &&
-		Array.isArray(state.loads) &&
-		Array.isArray(state.crashes) &&
-		Array.isArray(state.prompts) &&
-		typeof state.promptTokens === 'number' &&
-		typeof state.promptKnowledge === 'string' &&
-		Array.isArray(state.known)
-	);
-}
--- a/packages/gateway/test/node/peerStateCodec.test.ts
+++ b/packages/gateway/test/node/peerStateCodec.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { PeerState } from '../../src/common/peerState.js';
 import { PromptKnowledge } from '../../src/common/peerState.js';
-import { decodePeerState, encodePeerState } from '../../src/node/peerStateCodec.js';
+import { encodeCompressed, decodePeerState, encodePeerState } from '../../src/node/peerStateCodec.js';
 
 /** A state as an instance of a fleet of 79 sends it under load. */
 function makeState(updates: number): PeerState {
@@ -39,20 +39,20 @@
 describe('peer state codec', () => {
 	it('a state is equal after encoding and decoding, compressed or not', () => {
 		for (const state of [makeState(0), makeState(12), makeState(150)]) {
-			for (const isCompressionAllowed of [true, false]) {
-				expect(decodePeerState(encodePeerState(state, isCompressionAllowed))).to.deep.equal(state);
-			}
+			const encoded = encodePeerState(state);
+			expect(decodePeerState(encoded)).to.deep.equal(state);
+			expect(decodePeerState(encodeCompressed(encoded))).to.deep.equal(state);
 		}
 	});
 
 	it('large fleet: a compressed state has less than half of the bytes', () => {
-		const state = makeState(12);
-		const plain = encodePeerState(state, false).length;
-		expect(encodePeerState(state, true).length).to.be.below(plain / 2);
+		const encoded = encodePeerState(makeState(12));
+		expect(encodeCompressed(encoded).length).to.be.below(encoded.length / 2);
 	});
 
 	it('small fleet: a small state is sent as JSON', () => {
-		expect(encodePeerState(makeState(0), true)).to.deep.equal(encodePeerState(makeState(0), false));
+		const encoded = encodePeerState(makeState(0));
+		expect(encodeCompressed(encoded)).to.equal(encoded);
 	});
 
 	it('fails on bytes that are no state, also if they would unpack to more than the limit', () => {
@@ -65,7 +65,29 @@
 		]) {
 			expect(() => decodePeerState(bytes)).to.throw();
 		}
-		const bomb = encodePeerState({ ...makeState(1), known: ['x'.repeat(2_000_000)] }, true);
+		const bomb = encodeCompressed(encodePeerState({ ...makeState(1), known: ['x'.repeat(2_000_000)] }));
 		expect(() => decodePeerState(bomb)).to.throw();
 	});
+
+	it('fails on a state whose parts are of another type, so that nothing of it is adopted', () => {
+		for (const change of [
+			{ storeEra: '2' },
+			{ leaving: 5 },
+			{ leaving: ['i-1'] },
+			{ leaving: [['i-1', '7']] },
+			{ removed: { id: 'i-1' } },
+			{ removed: [[1, 7]] },
+			{ loads: undefined },
+			{ instance: {} },
+		]) {
+			const bytes = Buffer.from(JSON.stringify({ ...makeState(0), ...change }));
+			expect(() => decodePeerState(bytes), JSON.stringify(change)).to.throw('not a valid peer state');
+		}
+	});
+
+	it('reads the state of an instance of an older version', () => {
+		const { storeEra, leaving, acceptsCompressed, ...older } = makeState(0);
+		expect([storeEra, leaving, acceptsCompressed]).to.deep.equal([1, [], true]);
+		expect(decodePeerState(Buffer.from(JSON.stringify(older)))).to.deep.equal(older);
+	});
 });
