Take bookkeeping out of the gateway's wiring and the exchange

The module that wires the parts also described the state for peers, passed on theirs and decided when a start is over; the exchange counted the tokens of a prompt by a loop of its own, said twice that no connection is allowed and in three places whether all targets want no requests; the era tracker could be disposed of, which nothing did, and the listener of restores was kept. Change: PeerExchange and RunningAttempt hold what belongs together, StartupCatchUp keeps its own status, one place decides on the refusal; the listener ends with the gateway.

--- a/packages/gateway/src/common/promptChain.ts
+++ b/packages/gateway/src/common/promptChain.ts
@@ -44,6 +44,6 @@
 	return hashTextTo32(id);
 }
 
-export function countTokens(chain: PromptChain): number {
-	return chain.reduce((sum, { tokens }) => sum + tokens, 0);
+export function countTokens(parts: readonly { readonly tokens: number }[]): number {
+	return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
--- a/packages/gateway/src/common/startupCatchUp.ts
+++ b/packages/gateway/src/common/startupCatchUp.ts
@@ -10,16 +10,29 @@
 const MAX_WAIT_MS = 1000;
 
 export type CatchUpStatus =
-	| { readonly kind: 'waiting' }
-	/** `isTimedOut` tells that a peer has a newer configuration that did not arrive in time. */
-	| { readonly kind: 'complete'; readonly isTimedOut: boolean };
+	| 'waiting'
+	| 'complete'
+	/** Complete, although a peer has a newer configuration, which did not arrive in time. */
+	| 'timedOut';
 
 export class StartupCatchUp {
 	private contactedAtMs: number | undefined;
 	private highestVersion = 0;
 	private hasInformedPeer = false;
+	private status: CatchUpStatus;
 
-	constructor(private readonly startedAtMs: number) {}
+	/** @param isFirstStart whether the whole fleet starts for the first time, so that there is nothing to catch up on */
+	constructor(
+		private readonly startedAtMs: number,
+		isFirstStart: boolean,
+	) {
+		this.status = isFirstStart ? 'complete' : 'waiting';
+	}
+
+	/** Whether this instance may serve. It stays so. */
+	public get isComplete(): boolean {
+		return this.status !== 'waiting';
+	}
 
 	/** Records that the peers known from the seeds and the store have been sent a datagram. */
 	public recordContact(nowMs: number): void {
@@ -31,15 +44,28 @@
 		this.highestVersion = Math.max(this.highestVersion, configurationVersion);
 	}
 
-	/** @param version version of the configuration that this instance has */
-	public getStatus(version: number, nowMs: number): CatchUpStatus {
+	/**
+	 * Checks whether this instance may serve. Returns the new status, or undefined if it did not change.
+	 * @param version version of the configuration that this instance has; 0 if it has none
+	 */
+	public update(version: number, nowMs: number): CatchUpStatus | undefined {
+		if (this.isComplete || version === 0) {
+			return undefined;
+		}
+		const status = this.computeStatus(version, nowMs);
+		if (status === 'waiting') {
+			return undefined;
+		}
+		this.status = status;
+		return status;
+	}
+
+	private computeStatus(version: number, nowMs: number): CatchUpStatus {
 		const isCurrent = version >= this.highestVersion;
 		if (nowMs - this.startedAtMs >= MAX_WAIT_MS) {
-			return { kind: 'complete', isTimedOut: !isCurrent };
+			return isCurrent ? 'complete' : 'timedOut';
 		}
 		const hasWaited = this.contactedAtMs !== undefined && nowMs - this.contactedAtMs >= PEER_ANSWER_MS;
-		return isCurrent && (this.hasInformedPeer || hasWaited)
-			? { kind: 'complete', isTimedOut: false }
-			: { kind: 'waiting' };
+		return isCurrent && (this.hasInformedPeer || hasWaited) ? 'complete' : 'waiting';
 	}
 }
--- a/packages/gateway/src/common/storeEraTracker.ts
+++ b/packages/gateway/src/common/storeEraTracker.ts
@@ -1,5 +1,4 @@
 /** Detects that the store was restored from a copy, by the era that its responses state. */
-import type { Disposable } from '@papayawell/core';
 import { Emitter } from '@papayawell/core';
 import type { StorePosition } from './storePosition.js';
 
@@ -9,7 +8,7 @@
 	readonly era: number;
 }
 
-export class StoreEraTracker implements Disposable {
+export class StoreEraTracker {
 	private readonly restoreEmitter = new Emitter<StoreRestore>();
 	private latest: StorePosition | undefined;
 
@@ -39,8 +38,4 @@
 		this.restoreEmitter.fire({ previous, era: position.era });
 		return true;
 	}
-
-	public dispose(): void {
-		this.restoreEmitter.dispose();
-	}
 }
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -1,5 +1,4 @@
 /** Handles one request, from its complete receipt to the last byte of the response. */
-import type { TrackedAttempt } from '@papayawell/core';
 import { decideAfterFailure } from '../common/attemptDecision.js';
 import { AttemptHistory } from '../common/attemptHistory.js';
 import { isIdempotent } from '../common/gatewayConfiguration.js';
@@ -9,13 +8,13 @@
 import { computeReturnDelay } from '../common/returnDelay.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import { pickService } from '../common/routeTable.js';
-import type { TargetState } from '../common/targetState.js';
 import type { Placement } from '../common/targetTable.js';
 import type { AttemptFailure, AttemptResult } from './attemptResponse.js';
 import { AttemptResponse } from './attemptResponse.js';
 import type { CallerResponse } from './callerResponse.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
 import { ExchangeReport } from './exchangeReport.js';
+import { RunningAttempt } from './runningAttempt.js';
 
 /** No further attempt is sent if less than this is left before the deadline. */
 const MIN_ATTEMPT_MS = 30;
@@ -24,17 +23,6 @@
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
 const MIN_PREFILL_TOKENS_PER_MS = 10;
 
-interface CurrentAttempt {
-	readonly target: TargetState;
-	readonly response: AttemptResponse;
-	readonly run: TrackedAttempt;
-	isSent: boolean;
-	/** Whether no earlier attempt ran on the target. */
-	isFirstRunOnTarget: boolean;
-	/** Prompt tokens that the target has yet to prefill for this attempt. */
-	prefillTokens: number;
-}
-
 export class Exchange {
 	private readonly service: string;
 	private readonly prompt: PromptChain;
@@ -42,7 +30,7 @@
 	private readonly report: ExchangeReport;
 	private readonly timer: NodeJS.Timeout;
 	private readonly deadlineAtMs: number;
-	private attempt: CurrentAttempt | undefined;
+	private attempt: RunningAttempt | undefined;
 	private lastEventId: string | undefined;
 	private hasForwardedEvents = false;
 	/** A target's 5xx response, which the caller gets if no further attempt succeeds. */
@@ -130,24 +118,19 @@
 		this.history.addExcluded(id);
 		this.recordFailure(attempt, 'silent');
 		this.logFailure('silent', 'the target stopped sending', true, decision);
-		if (!this.send(placement)) {
-			this.endWithFailure(
-				'noConnection',
-				`no further connection to ${placement.target.record.id} is allowed`,
-			);
-		}
+		this.sendOrEnd(placement);
 	}
 
 	private sendNext(): void {
 		const placement = this.choosePlacement(this.history.excluded);
 		if (placement === undefined) {
-			const backOffMs = this.parts.targets.computeBackOff(this.service, performance.now());
-			this.endWithFailure(
-				backOffMs > 0 ? 'targetsBackingOff' : 'noTarget',
-				`service ${this.service} has no target that takes work`,
-			);
+			this.endWithFailure('noTarget', `service ${this.service} has no target that takes work`);
 			return;
 		}
+		this.sendOrEnd(placement);
+	}
+
+	private sendOrEnd(placement: Placement): void {
 		if (!this.send(placement)) {
 			this.endWithFailure(
 				'noConnection',
@@ -191,7 +174,7 @@
 			},
 			onResponseStarted: () => {
 				this.report.recordFirstByte();
-				releasePrefillTokens(attempt);
+				attempt.releasePrefillTokens();
 			},
 			onResult: (result) => {
 				this.handleResult(result);
@@ -202,18 +185,10 @@
 			incarnation: String(record.startedAtMs),
 		});
 		const prefillTokens = Math.max(0, countTokens(this.prompt) - placement.cachedTokens);
-		const attempt: CurrentAttempt = {
-			target,
-			response,
-			run,
-			isSent: false,
-			isFirstRunOnTarget: false,
-			prefillTokens,
-		};
-		target.ownPrefillTokens += prefillTokens;
+		const attempt = new RunningAttempt(target, response, run, prefillTokens);
 		this.attempt = attempt;
 		this.report.recordPlacement(placement);
-		target.recordRequestSent(nowMs, this.estimatePrefillTime());
+		target.recordRequestSent(nowMs, countTokens(request.prompt) / MIN_PREFILL_TOKENS_PER_MS);
 		const call = this.parts.client.send(
 			target,
 			request,
@@ -282,11 +257,12 @@
 		}
 	}
 
-	private recordFailure(attempt: CurrentAttempt, failure: AttemptFailure): void {
+	private recordFailure(attempt: RunningAttempt, failure: AttemptFailure): void {
 		const { health } = attempt.target;
 		switch (failure) {
 			case 'unreachable':
 			case 'silent':
+			case 'otherTarget':
 				health.recordConnectionFailure(performance.now(), true);
 				this.closeAttempt('failed');
 				return;
@@ -299,10 +275,6 @@
 				health.recordResponse(true);
 				this.closeAttempt('failed');
 				return;
-			case 'otherTarget':
-				health.recordConnectionFailure(performance.now(), true);
-				this.closeAttempt('failed');
-				return;
 			case 'rejected':
 				this.closeAttempt('failed');
 				return;
@@ -324,14 +296,7 @@
 			this.sendNext();
 			return;
 		}
-		this.endWithFailure(this.chooseRefusalReason(failure), detail);
-	}
-
-	private chooseRefusalReason(failure: AttemptFailure | 'failureAnswer'): RefusalReason {
-		if (this.parts.targets.computeBackOff(this.service, performance.now()) > 0) {
-			return 'targetsBackingOff';
-		}
-		return failure === 'rejected' ? 'targetsBusy' : 'noTarget';
+		this.endWithFailure(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
 	}
 
 	private logFailure(failure: string, detail: string, mayHaveRun: boolean, decision: string): void {
@@ -367,22 +332,26 @@
 			this.end('targetFailure', { status: head.status });
 			return;
 		}
-		this.refuse(this.history.runs > 0 ? 'targetFailed' : reason, detail);
+		if (this.history.runs > 0) {
+			this.refuse('targetFailed', detail);
+			return;
+		}
+		const backOffMs = this.parts.targets.computeBackOff(this.service, performance.now());
+		if (backOffMs > 0) {
+			const returnDelayMs = computeReturnDelay(backOffMs, this.priority, Math.random());
+			this.refuse('targetsBackingOff', detail, returnDelayMs);
+			return;
+		}
+		this.refuse(reason, detail);
 	}
 
 	/** Refuses the request. `detail` is part of the response body, so its texts, also those of attempts, stay stable. */
-	private refuse(reason: RefusalReason, detail: string): void {
+	private refuse(reason: RefusalReason, detail: string, returnDelayMs?: number): void {
 		const headers = this.parts.codec.buildGatewayResponseHeaders(this.input.request.attemptId);
-		const returnDelayMs = reason === 'targetsBackingOff' ? this.computeReturnDelay() : undefined;
 		const { status, retryAfterMs } = this.callerResponse.refuse(reason, detail, headers, returnDelayMs);
 		this.end('refused', { status, reason, detail, retryAfterMs });
 	}
 
-	private computeReturnDelay(): number {
-		const backOffMs = this.parts.targets.computeBackOff(this.service, performance.now());
-		return computeReturnDelay(backOffMs, this.priority, Math.random());
-	}
-
 	/** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
 	private get priority(): number {
 		const { customer, route } = this.input;
@@ -411,18 +380,11 @@
 		const { attempt } = this;
 		if (attempt !== undefined) {
 			this.attempt = undefined;
-			releasePrefillTokens(attempt);
-			attempt.target.recordRequestEnded();
+			attempt.end();
 			this.parts.suspects.end(attempt.run, end, performance.now());
 		}
 	}
 
-	/** Upper bound of the time that an engine takes to prefill the prompt, in ms. */
-	private estimatePrefillTime(): number {
-		const tokens = this.input.request.prompt.reduce((sum, part) => sum + part.tokens, 0);
-		return tokens / MIN_PREFILL_TOKENS_PER_MS;
-	}
-
 	private end(outcome: string, fields: Readonly<Record<string, string | number | undefined>>): void {
 		if (this.isEnded) {
 			return;
@@ -433,8 +395,3 @@
 		this.onEnded();
 	}
 }
-
-function releasePrefillTokens(attempt: CurrentAttempt): void {
-	attempt.target.ownPrefillTokens -= attempt.prefillTokens;
-	attempt.prefillTokens = 0;
-}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,11 +6,10 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { FleetInstance, GatewayState, PeerState, TargetLoad } from '../common/peerState.js';
+import type { FleetInstance } from '../common/peerState.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
 import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
-import { encodeTargetList } from '../common/targetListDocument.js';
 import type { TargetState } from '../common/targetState.js';
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
@@ -20,6 +19,7 @@
 import { CrashTracker } from './crashTracker.js';
 import { FleetMembership } from './fleetMembership.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { PeerExchange } from './peerExchange.js';
 import { PromptCacheSync } from './promptCacheSync.js';
 import { Shutdown } from './shutdown.js';
 import { TargetClient } from './targetClient.js';
@@ -90,13 +90,13 @@
 	private readonly configurationSync: ConfigurationSync;
 	private readonly targetListSync: TargetListSync;
 	private readonly promptCacheSync: PromptCacheSync;
-	private readonly catchUp = new StartupCatchUp(performance.now());
-	private isCaughtUp: boolean;
+	private readonly peerExchange: PeerExchange;
+	private readonly catchUp: StartupCatchUp;
 	private wasServing = false;
 
 	constructor(private readonly dependencies: GatewayDependencies) {
 		const { settings, store, codec, log } = dependencies;
-		this.isCaughtUp = settings.isFirstStart;
+		this.catchUp = new StartupCatchUp(performance.now(), settings.isFirstStart);
 		this.targets = new TargetTable(settings.self.zone);
 		this.retries = new RetryBudgets(settings.retries);
 		this.metrics = new GatewayMetrics(() => ({
@@ -132,7 +132,7 @@
 		});
 		this.server = new CallerServer({
 			address: settings.self.callersAddress,
-			readSnapshot: () => (this.isCaughtUp ? this.activeConfiguration.current : undefined),
+			readSnapshot: () => (this.catchUp.isComplete ? this.activeConfiguration.current : undefined),
 			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
 			exchange: {
 				codec,
@@ -161,20 +161,18 @@
 			seeds: settings.seeds,
 			store,
 			log,
-			describeSelf: () => this.describeSelf(),
-			describeDepartedTargets: () => ({
-				leaving: this.view.listRecentlyLeaving(),
-				removed: this.view.listRecentlyRemoved(),
-			}),
+			describeSelf: () => this.peerExchange.describeSelf(),
+			describeDepartedTargets: () => this.peerExchange.describeDepartedTargets(),
 			onDidContactPeers: () => {
 				this.handlePeersContacted();
 			},
 			onPeerState: (state) => {
-				this.handlePeerState(state);
+				this.peerExchange.handlePeerState(state);
+				this.checkServing(performance.now());
 			},
 			documents: {
 				'/configuration': () => this.activeConfiguration.current?.encoded,
-				'/targets': () => this.encodeTargets(),
+				'/targets': () => this.peerExchange.encodeTargets(),
 				'/prompts': () => this.promptCacheSync.encodeSnapshot(),
 			},
 		});
@@ -209,6 +207,18 @@
 			readOwnRank: () => this.membership.peers.findRankAmongLive(performance.now()),
 			countPeers: () => this.membership.peers.listAll().length,
 		});
+		this.peerExchange = new PeerExchange({
+			store,
+			activeConfiguration: this.activeConfiguration,
+			view: this.view,
+			targets: this.targets,
+			catchUp: this.catchUp,
+			configurationSync: this.configurationSync,
+			targetListSync: this.targetListSync,
+			promptCacheSync: this.promptCacheSync,
+			crashTracker: this.crashTracker,
+			isServing: () => this.isServing(),
+		});
 		this.shutdown = new Shutdown({
 			server: this.server,
 			log,
@@ -240,7 +250,7 @@
 			this.membership.announce(performance.now());
 			this.checkServing(performance.now());
 		});
-		this.dependencies.store.onDidRestore(({ previous, era }) => {
+		const restoreListener = this.dependencies.store.onDidRestore(({ previous, era }) => {
 			this.metrics.countDecision('storeRestored');
 			this.dependencies.log.write('state', 'storeRestored', {
 				previousEra: previous.era,
@@ -249,6 +259,7 @@
 				configurationVersion: this.activeConfiguration.version,
 			});
 		});
+		this.disposables.add(restoreListener);
 		this.configurationSync.start();
 		await Promise.all([this.server.listen(), this.membership.listen()]);
 		const timer = setInterval(() => {
@@ -265,7 +276,7 @@
 	public isServing(): boolean {
 		return (
 			!this.shutdown.isStarted &&
-			this.isCaughtUp &&
+			this.catchUp.isComplete &&
 			this.activeConfiguration.version > 0 &&
 			this.view.list !== undefined
 		);
@@ -298,15 +309,18 @@
 		this.checkServing(nowMs);
 	}
 
-	/** Gossips at once when this instance starts or stops serving. */
+	/** Lets this instance serve once it has caught up, and gossips at once when it starts or stops serving. */
 	private checkServing(nowMs: number): void {
-		this.checkCaughtUp(nowMs);
+		const { version } = this.activeConfiguration;
+		if (this.catchUp.update(version, nowMs) === 'timedOut') {
+			this.dependencies.log.write('state', 'catchUpTimedOut', { configurationVersion: version });
+		}
 		if (this.isServing() === this.wasServing) {
 			return;
 		}
 		this.wasServing = this.isServing();
 		this.dependencies.log.write('state', this.wasServing ? 'serving' : 'notServing', {
-			configurationVersion: this.activeConfiguration.version,
+			configurationVersion: version,
 			targetsRevision: this.view.list?.revision,
 		});
 		this.membership.announce(nowMs);
@@ -316,7 +330,7 @@
 	/** Checks again when the peers have had time to answer, rather than at the next tick. */
 	private handlePeersContacted(): void {
 		this.catchUp.recordContact(performance.now());
-		if (!this.isCaughtUp) {
+		if (!this.catchUp.isComplete) {
 			const timer = setTimeout(() => {
 				this.checkServing(performance.now());
 			}, PEER_ANSWER_MS);
@@ -328,73 +342,12 @@
 		}
 	}
 
-	private checkCaughtUp(nowMs: number): void {
-		const { version } = this.activeConfiguration;
-		if (this.isCaughtUp || version === 0) {
-			return;
-		}
-		const status = this.catchUp.getStatus(version, nowMs);
-		switch (status.kind) {
-			case 'waiting':
-				return;
-			case 'complete':
-				this.isCaughtUp = true;
-				if (status.isTimedOut) {
-					this.dependencies.log.write('state', 'catchUpTimedOut', { configurationVersion: version });
-				}
-				return;
-		}
-	}
-
 	private tickPromptCacheSync(nowMs: number): void {
 		if (this.activeConfiguration.version > 0 && this.view.list !== undefined) {
 			this.promptCacheSync.tick(nowMs);
 		}
 	}
 
-	private describeSelf(): GatewayState {
-		const nowMs = performance.now();
-		const loads: TargetLoad[] = [];
-		for (const { record, ownRequests, ownPrefillTokens } of this.targets.all) {
-			if (ownRequests > 0) {
-				loads.push([record.id, ownRequests, ownPrefillTokens]);
-			}
-		}
-		return {
-			isServing: this.isServing(),
-			configurationVersion: this.activeConfiguration.version,
-			targetsRevision: this.view.list?.revision ?? 0,
-			storeEra: this.view.list?.era ?? 0,
-			targetsAgeMs: this.view.list === undefined ? 0 : Math.round(this.view.computeAge(nowMs)),
-			targetsDigest: this.view.digest,
-			leaving: this.view.listUnlistedLeaving(),
-			loads,
-			prompts: this.promptCacheSync.listRecentPrompts(nowMs),
-			promptTokens: this.promptCacheSync.countCachedTokens(),
-			promptKnowledge: this.promptCacheSync.knowledge,
-			crashes: this.crashTracker.listCrashes(nowMs),
-		};
-	}
-
-	private handlePeerState(state: PeerState): void {
-		const nowMs = performance.now();
-		const { instance, configurationVersion, targetsRevision, targetsAgeMs, targetsDigest } = state;
-		const era = state.storeEra ?? 0;
-		this.catchUp.recordPeer(state);
-		if (targetsRevision > 0) {
-			this.dependencies.store.observePeerEra(era);
-		}
-		this.configurationSync.handlePeerVersion(instance.controlAddress, configurationVersion);
-		const list = { era, revision: targetsRevision, digest: targetsDigest, ageMs: targetsAgeMs };
-		this.targetListSync.handlePeerList(instance.controlAddress, list, nowMs);
-		this.targetListSync.adoptLeaving(state.leaving ?? [], nowMs);
-		this.targetListSync.adoptRemoved(state.removed ?? [], nowMs);
-		this.promptCacheSync.adoptPrompts(state.prompts);
-		this.promptCacheSync.handlePeerState(state, nowMs);
-		this.crashTracker.adoptCrashes(state.crashes, nowMs);
-		this.checkServing(nowMs);
-	}
-
 	private getCacheCapacity(target: TargetState): number {
 		return (
 			this.activeConfiguration.current?.configuration.services.get(target.record.service)?.kvCacheTokens ?? 0
@@ -412,17 +365,6 @@
 		this.checkServing(performance.now());
 	}
 
-	private encodeTargets(): string | undefined {
-		const { list } = this.view;
-		if (list === undefined) {
-			return undefined;
-		}
-		return encodeTargetList({
-			list,
-			ageMs: Math.round(this.view.computeAge(performance.now())),
-		});
-	}
-
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
 		return this.retries.tryAcquire(service, nowMs, this.membership.peers.countInstances(nowMs));
--- /dev/null
+++ b/packages/gateway/src/node/runningAttempt.ts
@@ -0,0 +1,32 @@
+/** One attempt in progress, and what it occupies on its target until it ends. */
+import type { TrackedAttempt } from '@papayawell/core';
+import type { TargetState } from '../common/targetState.js';
+import type { AttemptResponse } from './attemptResponse.js';
+
+export class RunningAttempt {
+	public isSent = false;
+	/** Whether no earlier attempt ran on the target. */
+	public isFirstRunOnTarget = false;
+
+	/** @param prefillTokens prompt tokens that the target has yet to prefill for this attempt */
+	constructor(
+		public readonly target: TargetState,
+		public readonly response: AttemptResponse,
+		public readonly run: TrackedAttempt,
+		private prefillTokens: number,
+	) {
+		target.ownPrefillTokens += prefillTokens;
+	}
+
+	/** Called when the target has prefilled the prompt. */
+	public releasePrefillTokens(): void {
+		this.target.ownPrefillTokens -= this.prefillTokens;
+		this.prefillTokens = 0;
+	}
+
+	/** Releases what the attempt occupies on the target. */
+	public end(): void {
+		this.releasePrefillTokens();
+		this.target.recordRequestEnded();
+	}
+}
