--- a/packages/gateway/test/model/returningChats.test.ts
+++ b/packages/gateway/test/model/returningChats.test.ts
@@ -12,7 +12,7 @@
 	instances: 79,
 	engines: 109,
 	slots: 16,
-	cacheTokens: 256_000,
+	memoryTokens: 256_000,
 	requestsPerSecond: 400,
 };
 
@@ -26,7 +26,7 @@
 			instances: 4,
 			engines: 8,
 			slots: 64,
-			cacheTokens: 280_000,
+			memoryTokens: 280_000,
 			requestsPerSecond: 40,
 			durationMs: 15_000,
 			seed: 1,
