Log content and prompt of requests whose connections broke

Change: attemptFailed names the hash of the content and the parts of the prompt if the connection broke.

--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -47,9 +47,16 @@
 			sends: history.sends,
 			events: lastEventId,
 			decision,
+			...(failure === 'broken' ? this.describeContent() : {}),
 		});
 	}
 
+	/** Describes what requests that crash their targets may have in common. */
+	private describeContent(): Readonly<Record<string, string>> {
+		const { fingerprint, request } = this.input;
+		return { content: fingerprint, prompt: request.prompt.map(({ id }) => id).join(' ') };
+	}
+
 	/** @param fields log fields specific to this outcome */
 	public logEnd(
 		outcome: string,
