Do not blame requests that a target had long been answering for its crash

Cause: everything in flight on a target that died is a suspect, however long its answer had run. Content that crashes a target does so when the target begins to answer. Change: attempts answered for more than 500 ms before the end are no possible cause.

--- a/packages/core/src/common/outcome/suspectTracker.ts
+++ b/packages/core/src/common/outcome/suspectTracker.ts
@@ -1,6 +1,6 @@
 /**
  * Finds and quarantines requests whose content crashes targets. Every request in flight on a target that
- * died becomes a suspect. Suspects are placed on separate targets, so that a second crash identifies the
+ * died becomes a suspect, unless its answer had begun long before. Suspects are placed on separate targets, so that a second crash identifies the
  * cause, which is then quarantined. Requests with equal content share a fingerprint. Times are epoch ms,
  * because facts with an expiry time are shared with other routers.
  */
@@ -46,6 +46,11 @@
  * found dead, in ms.
  */
 const BROKEN_ATTEMPT_RETENTION_MS = 10_000;
+/**
+ * Content that crashes targets does so when they begin to answer it. An attempt that has been answered for longer than
+ * this when its target dies is not a possible cause, in ms.
+ */
+const MAX_SUSPECT_ANSWER_MS = 500;
 /** Maximum number of fingerprints in each table; the oldest is evicted first. */
 const MAX_FINGERPRINTS = 20_000;
 
@@ -65,6 +70,8 @@
 	private readonly unresolved = new Set<TrackedAttempt>();
 	/** Recently broken attempts, with the time at which the connection broke. */
 	private readonly broken = new Map<TrackedAttempt, number>();
+	/** Time at which the answer to each attempt began. */
+	private readonly answersBeganMs = new WeakMap<TrackedAttempt, number>();
 	private readonly suspicions = new Map<string, Suspicion>();
 	private readonly quarantines = new Map<string, QuarantineFact>();
 	/**
@@ -116,6 +123,13 @@
 		return attempt;
 	}
 
+	/** Records that the target has sent a first part of its answer. */
+	public noteAnswering(attempt: TrackedAttempt, nowMs: number): void {
+		if (!this.answersBeganMs.has(attempt)) {
+			this.answersBeganMs.set(attempt, nowMs);
+		}
+	}
+
 	public end(attempt: TrackedAttempt, end: AttemptEnd, nowMs: number): void {
 		if (!this.running.delete(attempt)) {
 			return;
@@ -148,17 +162,22 @@
 		this.unresolved.delete(attempt);
 	}
 
-	/**
-	 * Counts a crash against every request that was in flight on a target that died; returns their
-	 * fingerprints.
-	 */
-	public noteTargetDied(target: TargetIncarnation, nowMs: number): readonly string[] {
+	/** Returns the attempts in flight on a target that died, but for those that it had been answering for a while. */
+	public findPossibleCauses(target: TargetIncarnation, nowMs: number): readonly TrackedAttempt[] {
 		this.pruneBroken(nowMs);
+		return this.findInFlight(target).filter((attempt) => {
+			const endedAtMs = this.broken.get(attempt) ?? nowMs;
+			const answerBeganMs = this.answersBeganMs.get(attempt) ?? endedAtMs;
+			return endedAtMs - answerBeganMs <= MAX_SUSPECT_ANSWER_MS;
+		});
+	}
+
+	/** Counts a crash against every possible cause of the death of a target; returns their fingerprints. */
+	public noteTargetDied(target: TargetIncarnation, nowMs: number): readonly string[] {
 		const name = formatTarget(target);
-		const attempts = [...this.running, ...this.broken.keys()].filter(
-			(attempt) => formatTarget(attempt.target) === name,
-		);
-		const fingerprints = [...new Set(attempts.map((attempt) => attempt.fingerprint))];
+		const causes = this.findPossibleCauses(target, nowMs);
+		const attempts = this.findInFlight(target);
+		const fingerprints = [...new Set(causes.map((attempt) => attempt.fingerprint))];
 		for (const fingerprint of fingerprints) {
 			this.addCrash(fingerprint, name, nowMs);
 		}
@@ -202,6 +221,13 @@
 		return true;
 	}
 
+	private findInFlight(target: TargetIncarnation): readonly TrackedAttempt[] {
+		const name = formatTarget(target);
+		return [...this.running, ...this.broken.keys()].filter(
+			(attempt) => formatTarget(attempt.target) === name,
+		);
+	}
+
 	private isReleasedAfter(fact: SuspicionFact): boolean {
 		const current = this.quarantines.get(fact.fingerprint);
 		return current?.expiresAtMs === 0 && current.version >= fact.version;
--- a/packages/core/test/common/outcome/suspectTracker.test.ts
+++ b/packages/core/test/common/outcome/suspectTracker.test.ts
@@ -52,6 +52,20 @@
 		expect(tracker!.check('good1', 5).kind).to.equal('clear');
 	});
 
+	it('does not blame a request whose answer had begun long before its target died', () => {
+		const [tracker] = new TestFleet(1).trackers;
+		const answered = tracker!.start('answered', makeTarget('t1'));
+		const begun = tracker!.start('begun', makeTarget('t1'));
+		const broken = tracker!.start('broken', makeTarget('t1'));
+		tracker!.noteAnswering(answered, 0);
+		tracker!.noteAnswering(broken, 0);
+		tracker!.end(broken, 'broken', 800);
+		tracker!.noteAnswering(begun, 900);
+		tracker!.noteAnswering(answered, 900);
+		expect(tracker!.noteTargetDied(makeTarget('t1'), 1000)).to.deep.equal(['begun']);
+		expect(tracker!.check('answered', 1001).kind).to.equal('clear');
+	});
+
 	it('counts the death of one target once when several routers report it', () => {
 		const fleet = new TestFleet(3);
 		for (const tracker of fleet.trackers) {
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -169,10 +169,12 @@
 				this.handleRequestWriting();
 			},
 			onEvent: (id) => {
+				this.parts.suspects.noteAnswering(run, performance.now());
 				this.hasForwardedEvents = true;
 				this.lastEventId = id ?? this.lastEventId;
 			},
 			onResponseStarted: () => {
+				this.parts.suspects.noteAnswering(run, performance.now());
 				this.report.recordFirstByte();
 				attempt.releasePrefillTokens();
 			},
