Keep the limits that targets name on their requests, in the whole fleet

Cause: the header was not read. Change: the latest statement of a target is gossiped; as many instances as the limit plus three, chosen by rendezvous hashing, share it as token buckets; a target without a share or token is passed over, and callers are refused at once, with the time until the next request, if all are at their limits. A response without the header, or a restart of the target, ends the limit.

--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -53,6 +53,8 @@
 	readonly isMisdirected: boolean;
 	/** Whether the target announces that it leaves. */
 	readonly isLeaving: boolean;
+	/** Requests a second, unparsed, that the target takes from the whole fleet; undefined if it names no limit. */
+	readonly requestLimit: string | undefined;
 	/** Stated time in seconds, unparsed, in which the target wants no further request; undefined if it states none. */
 	readonly retryAfter: string | undefined;
 }
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -59,6 +59,8 @@
 	readonly promptDeaths?: readonly PartDeathReport[];
 	/** Answers that disprove a suspicion of prompt parts; undefined from instances of an older version. */
 	readonly promptAnswers?: readonly PartAnswerReport[];
+	/** What targets said of their limits; undefined from instances of an older version. */
+	readonly targetLimits?: readonly TargetLimitReport[];
 	/** Prompts recently sent to engines that did not have all their shared parts cached. */
 	readonly prompts: readonly PromptUpdate[];
 	/** Total tokens of the shared prompt parts that this instance knows to be cached by engines. */
@@ -75,6 +77,17 @@
 /** Target, requests in flight on it, and prompt tokens that it still has to prefill for them. */
 export type TargetLoad = readonly [id: string, requests: number, prefillTokens: number];
 
+/**
+ * Requests a second that one start of a target takes from the whole fleet, null if it names no limit, and the time since
+ * it said so in ms.
+ */
+export type TargetLimitReport = readonly [
+	id: string,
+	startedAtMs: number,
+	requestsPerSecond: number | null,
+	ageMs: number,
+];
+
 export interface PromptUpdate {
 	readonly target: string;
 	/** Alternating hash and token count of each shared part. */
--- /dev/null
+++ b/packages/gateway/src/common/requestLimitShare.ts
@@ -0,0 +1,39 @@
+/**
+ * Divides the limit of a target among the instances of the fleet. In a large fleet equal shares would be far less than
+ * a request a second each, so only as many instances use the target as the limit allows for; rendezvous hashing
+ * chooses them alike at every instance.
+ */
+import { hashPair, hashTextTo32 } from '@papayawell/core';
+
+/** An instance that may use a target. */
+export interface LimitUser {
+	readonly name: string;
+	readonly nameHash: number;
+}
+
+export function createLimitUser(name: string): LimitUser {
+	return { name, nameHash: hashTextTo32(name) };
+}
+
+/** Instances that may use a target beyond one for each request a second; each may send one request at any moment. */
+const EXTRA_INSTANCES = 3;
+
+/**
+ * Returns the requests a second that an instance may send to a target; 0 if it may send none.
+ * @param targetHash hash of the target's id
+ * @param others the other instances that serve
+ */
+export function computeLimitShare(
+	requestsPerSecond: number,
+	targetHash: number,
+	self: LimitUser,
+	others: readonly LimitUser[],
+): number {
+	const users = Math.min(others.length + 1, Math.floor(requestsPerSecond) + EXTRA_INSTANCES);
+	const ownScore = hashPair(targetHash, self.nameHash);
+	const ahead = others.filter(({ name, nameHash }) => {
+		const score = hashPair(targetHash, nameHash);
+		return score > ownScore || (score === ownScore && name < self.name);
+	});
+	return ahead.length < users ? requestsPerSecond / users : 0;
+}
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -6,6 +6,7 @@
 import { PrefixCacheIndex } from './prefixCacheIndex.js';
 import { UNRESPONSIVE_AFTER_MS, TargetHealth } from './targetHealth.js';
 import type { TargetRecord } from './targetRecord.js';
+import { TargetRequestLimit } from './targetRequestLimit.js';
 
 /** Weight of the latest response in the moving average of the time to the response head. */
 const TIME_TO_HEAD_WEIGHT = 0.1;
@@ -14,6 +15,9 @@
 	public readonly nameHash: number;
 	public readonly health = new TargetHealth();
 	public readonly prefixCache = new PrefixCacheIndex();
+	public readonly requestLimit = new TargetRequestLimit();
+	/** Whether the target has named a limit that cannot be read. */
+	public hasInvalidLimit = false;
 	/** Requests of this instance in flight on the target. */
 	public ownRequests = 0;
 	/** Requests of the other instances in flight on the target, as last reported. */
@@ -45,6 +49,7 @@
 	public recordRequestSent(nowMs: number, firstByteTimeMs: number): void {
 		this.firstByteDueAtMs = Math.max(this.firstByteDueAtMs, nowMs + firstByteTimeMs + UNRESPONSIVE_AFTER_MS);
 		this.ownRequests += 1;
+		this.requestLimit.consume(nowMs);
 	}
 
 	public recordRequestEnded(): void {
@@ -61,9 +66,12 @@
 		this.backOffUntilMs = Math.max(this.backOffUntilMs, untilMs);
 	}
 
-	/** Returns the time for which the target wants no request, in ms; 0 if it takes requests. */
-	public getBackOff(nowMs: number): number {
-		return Math.max(0, this.backOffUntilMs - nowMs);
+	/**
+	 * Returns the time for which the target wants no request of this instance, in ms: until its back-off is over, and its
+	 * limit allows for a request. 0 if it takes requests, infinity if that may change at any time or never.
+	 */
+	public computePause(nowMs: number): number {
+		return Math.max(0, this.backOffUntilMs - nowMs, this.requestLimit.computeDelay(nowMs));
 	}
 
 	public recordActivity(nowMs: number): void {
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -112,17 +112,17 @@
 	}
 
 	/**
-	 * Returns the time until a target of a service takes requests again, in ms; 0 if one does, or if none is known that
-	 * will.
+	 * Returns the time until a target of a service takes requests of this instance again, in ms; 0 if one does, or if none
+	 * is known that will, and infinity if only other instances may use the targets.
 	 */
-	public computeBackOff(service: string, nowMs: number): number {
+	public computePause(service: string, nowMs: number): number {
 		const staying = (this.byService.get(service) ?? []).filter(({ record }) => !record.isLeaving);
-		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.getBackOff(nowMs)));
+		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.computePause(nowMs)));
 	}
 
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
 		const all = this.byService.get(request.service) ?? [];
-		const serving = all.filter((target) => !target.record.isLeaving && target.getBackOff(nowMs) === 0);
+		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
 		const healthy = selectHealthy(serving, nowMs);
 		const candidates = healthy.filter((target) => isAllowed(target, request));
 		if (candidates.length === 0) {
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -22,6 +22,8 @@
 const LEAST_URGENT_PRIORITY = 9;
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
 const MIN_PREFILL_TOKENS_PER_MS = 10;
+/** When a caller returns if only other instances may use the targets, which are at their limits. */
+const OTHER_SHARE_DELAY_MS = 400;
 
 export class Exchange {
 	private readonly service: string;
@@ -338,9 +340,13 @@
 			this.refuse('targetFailed', detail);
 			return;
 		}
-		const backOffMs = this.parts.targets.computeBackOff(this.service, performance.now());
-		if (backOffMs > 0) {
-			const returnDelayMs = computeReturnDelay(backOffMs, this.priority, Math.random());
+		const pauseMs = this.parts.targets.computePause(this.service, performance.now());
+		if (pauseMs > 0) {
+			const returnDelayMs = computeReturnDelay(
+				Number.isFinite(pauseMs) ? pauseMs : OTHER_SHARE_DELAY_MS,
+				this.priority,
+				Math.random(),
+			);
 			this.refuse('targetsBackingOff', detail, returnDelayMs);
 			return;
 		}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -21,6 +21,7 @@
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { PeerExchange } from './peerExchange.js';
 import { PromptCacheSync } from './promptCacheSync.js';
+import { RequestLimitSync } from './requestLimitSync.js';
 import { Shutdown } from './shutdown.js';
 import { TargetClient } from './targetClient.js';
 import type { TargetChangeSource } from './targetListSync.js';
@@ -83,6 +84,7 @@
 	private readonly targets: TargetTable;
 	private readonly retries: RetryBudgets;
 	private readonly crashTracker: CrashTracker;
+	private readonly requestLimitSync: RequestLimitSync;
 	private readonly client: TargetClient;
 	private readonly server: CallerServer;
 	private readonly membership: FleetMembership;
@@ -118,11 +120,21 @@
 			onTargetLeaving: ({ record }) => {
 				this.targetListSync.recordLeaving(record);
 			},
+			onLimitStated: (target, text) => {
+				this.requestLimitSync.recordStatement(target, text, performance.now());
+			},
 			onBackOffRequested: ({ record }, request) => {
 				this.metrics.countDecision('targetBackOff');
 				log.write('decision', 'targetBackOff', { target: record.id, ...request });
 			},
 		});
+		this.requestLimitSync = new RequestLimitSync({
+			targets: this.targets,
+			log,
+			ownName: settings.self.name,
+			listOthers: () =>
+				this.membership.peers.listServing(performance.now()).map(({ instance }) => instance.name),
+		});
 		this.crashTracker = new CrashTracker({
 			log,
 			probe: (target) => this.client.probe(target),
@@ -222,6 +234,7 @@
 			targetListSync: this.targetListSync,
 			promptCacheSync: this.promptCacheSync,
 			crashTracker: this.crashTracker,
+			requestLimitSync: this.requestLimitSync,
 			isServing: () => this.isServing(),
 		});
 		this.shutdown = new Shutdown({
@@ -310,6 +323,7 @@
 		this.tickPromptCacheSync(nowMs);
 		this.server.moveOffUnresponsiveTargets(nowMs);
 		this.shutdown.tick(nowMs);
+		this.requestLimitSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.checkServing(nowMs);
 	}
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationSync } from './configurationSync.js';
 import type { CrashTracker } from './crashTracker.js';
 import type { PromptCacheSync } from './promptCacheSync.js';
+import type { RequestLimitSync } from './requestLimitSync.js';
 import type { TargetListSync } from './targetListSync.js';
 
 export interface PeerExchangeParts {
@@ -21,6 +22,7 @@
 	readonly targetListSync: TargetListSync;
 	readonly promptCacheSync: PromptCacheSync;
 	readonly crashTracker: CrashTracker;
+	readonly requestLimitSync: RequestLimitSync;
 	readonly isServing: () => boolean;
 }
 
@@ -28,7 +30,8 @@
 	constructor(private readonly parts: PeerExchangeParts) {}
 
 	public describeSelf(): GatewayState {
-		const { activeConfiguration, crashTracker, isServing, promptCacheSync, view } = this.parts;
+		const { activeConfiguration, crashTracker, isServing, promptCacheSync, requestLimitSync, view } =
+			this.parts;
 		const nowMs = performance.now();
 		const { list } = view;
 		return {
@@ -45,6 +48,7 @@
 			promptKnowledge: promptCacheSync.knowledge,
 			crashes: crashTracker.listCrashes(nowMs),
 			...crashTracker.describePromptParts(nowMs),
+			targetLimits: requestLimitSync.listReports(nowMs),
 		};
 	}
 
@@ -81,6 +85,7 @@
 		promptCacheSync.adoptPrompts(state.prompts);
 		promptCacheSync.handlePeerState(state, nowMs);
 		crashTracker.adoptPeerState(state, nowMs);
+		this.parts.requestLimitSync.adopt(state.targetLimits ?? [], nowMs);
 	}
 
 	private listLoads(): readonly TargetLoad[] {
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -57,6 +57,7 @@
 		isOptionalList(state.removed, isTargetStart) &&
 		isOptionalList(state.promptDeaths, isPartDeathReport) &&
 		isOptionalList(state.promptAnswers, isPartAnswerReport) &&
+		isOptionalList(state.targetLimits, isTargetLimitReport) &&
 		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
@@ -74,6 +75,15 @@
 	return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1]);
 }
 
+function isTargetLimitReport(value: unknown): boolean {
+	return (
+		Array.isArray(value) &&
+		isTargetStart(value) &&
+		(value[2] === null || (typeof value[2] === 'number' && value[2] >= 0)) &&
+		Number.isSafeInteger(value[3])
+	);
+}
+
 function isPartDeathReport(value: unknown): boolean {
 	return (
 		Array.isArray(value) &&
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -47,6 +47,11 @@
 	readonly onCrossedResponse: (target: string, attemptId: string) => void;
 	/** Called when a target announces in a response that it leaves. */
 	readonly onTargetLeaving: (target: TargetState) => void;
+	/**
+	 * Called when a target says in a response how many requests a second it takes from the whole fleet.
+	 * @param text undefined if it names no limit
+	 */
+	readonly onLimitStated: (target: TargetState, text: string | undefined) => void;
 	/** Called when a target that rejects a request states, validly or not, for how long it wants no further one. */
 	readonly onBackOffRequested: (target: TargetState, request: BackOffRequest) => void;
 }
@@ -109,10 +114,11 @@
 		onFailure: (detail: string) => void,
 	): Promise<string | undefined> {
 		const { service, address } = target.record;
-		if (target.getBackOff(performance.now()) > 0) {
+		if (target.computePause(performance.now()) > 0) {
 			onFailure('the target wants no requests for now');
 			return Promise.resolve(undefined);
 		}
+		target.requestLimit.consume(performance.now());
 		const limit = this.options.getConnectionLimit(service);
 		const connection = this.getPool(target).acquire(performance.now(), limit);
 		if (connection === undefined) {
@@ -207,10 +213,13 @@
 
 	/** Handles what the target says of itself. It applies to the start of the target that the request was sent to. */
 	private handleTargetState(status: number, facts: TargetResponseInfo, nowMs: number): void {
-		const { onBackOffRequested, onTargetLeaving } = this.options;
+		const { onBackOffRequested, onLimitStated, onTargetLeaving } = this.options;
 		if (facts.isLeaving) {
 			onTargetLeaving(this.target);
 		}
+		if (facts.isSigned || facts.isNotRun) {
+			onLimitStated(this.target, facts.requestLimit);
+		}
 		if (status !== HTTP_SERVICE_UNAVAILABLE) {
 			return;
 		}
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -36,10 +36,10 @@
 		table.find('x')?.recordBackOff(1000);
 		expect(choose(table, {}, 500)).to.equal('y');
 		expect(choose(table, { excluded: new Set(['y']) }, 500)).to.equal(undefined);
-		expect(table.computeBackOff('engines', 500)).to.equal(0);
+		expect(table.computePause('engines', 500)).to.equal(0);
 		table.find('y')?.recordBackOff(800);
 		expect(choose(table, {}, 500)).to.equal(undefined);
-		expect(table.computeBackOff('engines', 500)).to.equal(300);
+		expect(table.computePause('engines', 500)).to.equal(300);
 		expect(choose(table, { excluded: new Set(['y']) }, 1000)).to.equal('x');
 	});
 
--- a/packages/gateway/test/node/peerStateCodec.test.ts
+++ b/packages/gateway/test/node/peerStateCodec.test.ts
@@ -77,6 +77,10 @@
 			{ leaving: [['i-1', '7']] },
 			{ removed: { id: 'i-1' } },
 			{ removed: [[1, 7]] },
+			{ promptDeaths: [['part', 't-1', 1]] },
+			{ promptAnswers: [['part', '1']] },
+			{ targetLimits: [['i-1', 7, '2', 1]] },
+			{ targetLimits: [['i-1', 7, -1, 1]] },
 			{ loads: undefined },
 			{ instance: {} },
 		]) {
