Do not pass on a stream that ended before its first event as whole

Callers could get an empty stream with status 200 as a whole answer when a target ended while it began to write and its answer had neither a length nor chunks. Cause: the end of the connection was taken for the end of the answer unless an event was torn. Change: without an event such a stream has been broken off. Test that failed before (200 in place of 502): unframedAnswers, 'a stream that ends before its first event has been broken off'.

--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -214,6 +214,16 @@
 			});
 			return;
 		}
+		if (head.framing.kind === 'untilClose' && !this.options.response.hasStarted) {
+			// Nothing but its events tells a whole stream without a length from one that was broken off.
+			this.report({
+				kind: 'failed',
+				failure: 'broken',
+				mayHaveRun: true,
+				detail: 'the stream ended before its first event',
+			});
+			return;
+		}
 		this.startStream();
 		this.options.response.end();
 		this.report({ kind: 'delivered', status: head.status });
