Bound the bytes of targets that never end

Callers waited until the time-out of their route (2,000 ms in the tests) when a target wrote without end: interim responses, the trailer of a chunked answer, the body of an answer that is not accepted or belongs to another request. Cause: what is skipped had no limit but the time. Change: 64 KiB of interim responses and trailer, longer bodies that are not used close the connection at once, 1 MiB of an answer to another request. Tests that failed before: four of ten in unframedAnswers, 2,001 to 2,004 ms each; now at most 300 ms.

--- a/packages/gateway/src/common/responseParser.ts
+++ b/packages/gateway/src/common/responseParser.ts
@@ -35,6 +35,8 @@
 export class ResponseFormatError extends Error {}
 
 const MAX_HEAD_BYTES = 65_536;
+/** Limit of the interim responses before a response, and of the trailer after it. */
+const MAX_EXTRA_BYTES = 65_536;
 const MAX_CHUNK_LINE_BYTES = 4096;
 const HEAD_END = '\r\n\r\n';
 const EMPTY = Buffer.alloc(0);
@@ -53,6 +55,7 @@
 export class ResponseParser {
 	private state: ParserState = { kind: 'head' };
 	private pending: Buffer = EMPTY;
+	private extraBytes = 0;
 
 	constructor(
 		private readonly method: string,
@@ -122,6 +125,7 @@
 		const head = parseHead(this.pending.toString('latin1', 0, end), this.method);
 		this.pending = this.pending.subarray(end + HEAD_END.length);
 		if (head.status < 200) {
+			this.countExtraBytes(end);
 			return this.pending.length > 0;
 		}
 		this.handler.onHead(head);
@@ -202,9 +206,17 @@
 		if (line === '') {
 			this.end();
 		}
+		this.countExtraBytes(line.length);
 		return true;
 	}
 
+	private countExtraBytes(bytes: number): void {
+		this.extraBytes += bytes;
+		if (this.extraBytes > MAX_EXTRA_BYTES) {
+			throw new ResponseFormatError('The interim responses or the trailer are too long.');
+		}
+	}
+
 	private readUntilClose(): boolean {
 		const taken = this.pending;
 		this.pending = EMPTY;
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -6,6 +6,8 @@
 import type { Call, CallListener } from './targetClient.js';
 import type { ConnectionFailure } from './targetConnection.js';
 
+/** A longer body of a response that is not used is not read to its end. */
+const MAX_DISCARDED_BYTES = 65_536;
 /** Responses up to this size are buffered until complete, so that an attempt that breaks can still be retried. */
 const MAX_BUFFERED_BYTES = 262_144;
 
@@ -161,9 +163,10 @@
 	private dropBody(result: AttemptResult): void {
 		this.bodyMode = 'discard';
 		this.discardResult = result;
-		const framing = this.head?.framing.kind;
-		if (framing === 'untilClose' || framing === 'chunked') {
-			// The rest of the body may be long, so its end is not awaited.
+		const framing = this.head?.framing;
+		const isShort =
+			framing?.kind === 'none' || (framing?.kind === 'length' && framing.length <= MAX_DISCARDED_BYTES);
+		if (!isShort) {
 			this.call?.cancel();
 			this.report(result);
 		}
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -19,6 +19,8 @@
  * not run twice are therefore not sent on connections that were idle for longer than this.
  */
 const NON_REPEATABLE_IDLE_LIMIT_MS = 1000;
+/** Limit of the body of a response to another request, which is read to get to the awaited one. */
+const MAX_CROSSED_BYTES = 1_048_576;
 const CRLF = '\r\n';
 const HTTP_SERVICE_UNAVAILABLE = 503;
 
@@ -163,6 +165,7 @@
 	private isSent = false;
 	private isCancelled = false;
 	private isCrossed = false;
+	private crossedBytes = 0;
 
 	constructor(
 		private readonly connection: TargetConnection,
@@ -236,6 +239,12 @@
 		this.target.recordActivity(performance.now());
 		if (!this.isCrossed) {
 			this.listener.onBody(chunk);
+			return;
+		}
+		this.crossedBytes += chunk.length;
+		if (this.crossedBytes > MAX_CROSSED_BYTES) {
+			this.cancel();
+			this.listener.onFailure('malformed', true, 'the answer to another request is too long');
 		}
 	}
 
