Bound the documents that are fetched from targets

An engine whose list of cached prompt parts never ended could fill the memory of an instance within the 500 ms of a query. Cause: the bytes were kept without a limit. Change: 8 MiB, after which the connection is closed.

--- a/packages/gateway/src/node/documentFetch.ts
+++ b/packages/gateway/src/node/documentFetch.ts
@@ -3,6 +3,8 @@
 import type { ConnectionFailure, ConnectionListener, TargetConnection } from './targetConnection.js';
 
 const HTTP_OK = 200;
+/** A list of all cached prompt parts of an engine takes far less. */
+const MAX_DOCUMENT_BYTES = 8_388_608;
 
 /**
  * Fetches a document.
@@ -25,6 +27,7 @@
 	private readonly chunks: Buffer[] = [];
 	private readonly timer: NodeJS.Timeout;
 	private head: ResponseHead | undefined;
+	private bytes = 0;
 
 	constructor(
 		private readonly connection: TargetConnection,
@@ -48,6 +51,12 @@
 	}
 
 	public onBody(chunk: Buffer): void {
+		this.bytes += chunk.length;
+		if (this.bytes > MAX_DOCUMENT_BYTES) {
+			this.connection.close();
+			this.fail(`the document is longer than ${MAX_DOCUMENT_BYTES} bytes`);
+			return;
+		}
 		this.chunks.push(chunk);
 	}
 
