Cancel streams between routers that do not close after their end

Cause: gRPC queues a stream and its end while the connection is not established; nothing bounded that, so the channel was never closed. Change: an outbound stream is cancelled 2 s after its end if it has not closed.

--- a/packages/peers/src/node/frameStream.ts
+++ b/packages/peers/src/node/frameStream.ts
@@ -3,6 +3,12 @@
 
 export const EXCHANGE_PATH = '/papayawell.peers.Peers/Exchange';
 
+/**
+ * Time after its end within which an outbound stream must close. gRPC queues a stream, and its end, while the connection
+ * is not established, and keeps the process alive until it is.
+ */
+const CLOSE_TIMEOUT_MS = 2000;
+
 export type GrpcStream = ClientDuplexStream<Uint8Array, Buffer> | ServerDuplexStream<Buffer, Uint8Array>;
 
 /**
@@ -21,6 +27,7 @@
 
 export class FrameStream {
 	private isEnded = false;
+	private closeTimer: NodeJS.Timeout | undefined;
 
 	constructor(
 		private readonly stream: GrpcStream,
@@ -34,6 +41,7 @@
 		const handleEnd = (): void => {
 			if (!this.isEnded) {
 				this.isEnded = true;
+				clearTimeout(this.closeTimer);
 				this.releaseResources();
 				handlers.onEnd();
 			}
@@ -61,10 +69,17 @@
 		}
 	}
 
-	/** Ends the stream after pending writes. */
+	/** Ends the stream after pending writes; cancels it if that takes too long. */
 	public end(): void {
-		if (!this.isEnded) {
-			this.stream.end();
+		if (this.isEnded) {
+			return;
+		}
+		const { stream } = this;
+		stream.end();
+		if ('cancel' in stream) {
+			this.closeTimer ??= setTimeout(() => {
+				stream.cancel();
+			}, CLOSE_TIMEOUT_MS);
 		}
 	}
 }
