--- a/packages/gateway/test/model/crashingPrompts.test.ts
+++ b/packages/gateway/test/model/crashingPrompts.test.ts
@@ -1,6 +1,6 @@
 /**
  * The load of prompts that crash engines: they come at any instance, with a part in common, among sound prompts that
- * share all their other parts. Instances may be killed meanwhile.
+ * share all their other parts. Instances may be killed, or cut off from the others or frozen, meanwhile.
  */
 import { expect } from 'chai';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
@@ -17,6 +17,8 @@
 	readonly stableMs: number;
 	/** Share of the instances that lose all they know, one after the other. */
 	readonly restartedShare: number;
+	/** Time after which another instance is cut off from its peers for `CUT_MS`; infinity for none. */
+	readonly cutIntervalMs: number;
 	readonly durationMs: number;
 	readonly seeds: readonly number[];
 }
@@ -40,6 +42,7 @@
 const PREFILL_MS = 150;
 const ANSWER_MS = 600;
 const OUTLIVED_AFTER_MS = 100;
+const CUT_MS = 4000;
 const ROOTS = 5;
 const CHATS = 400;
 const TRANSIT_MS = 2;
@@ -54,6 +57,9 @@
 	const engineStarts = Array.from({ length: load.engines }, () => 0);
 	const engineReadyAtMs = Array.from({ length: load.engines }, () => 0);
 	let runs: Run[] = [];
+	let cutInstance = -1;
+	let cutUntilMs = -Infinity;
+	let nextCutMs = load.cutIntervalMs;
 	let crashes = 0;
 	let boundFromMs = Infinity;
 	let further = 0;
@@ -70,7 +76,8 @@
 			return;
 		}
 		soundSent += isCrashing ? 0 : 1;
-		further += isCrashing && nowMs > boundFromMs ? 1 : 0;
+		const isInTouch = instance !== cutInstance || nowMs > cutUntilMs + load.stableMs;
+		further += isCrashing && isInTouch && nowMs > boundFromMs ? 1 : 0;
 		const up = engineReadyAtMs.flatMap((readyAtMs, engine) => (readyAtMs <= nowMs ? [engine] : []));
 		const engine = up[pickIndex(up.length)];
 		if (engine !== undefined) {
@@ -99,12 +106,15 @@
 	};
 
 	const gossip = (nowMs: number): void => {
+		const isCut = (index: number): boolean => index === cutInstance && nowMs < cutUntilMs;
 		for (const [index, tracker] of trackers.entries()) {
 			const deaths = tracker.listDeaths(nowMs);
 			const answers = tracker.listAnswers(nowMs);
 			for (let step = 0; step < Math.min(GOSSIP_FAN_OUT, load.instances - 1); step++) {
 				const peer = ((nextPeers[index] ?? 0) + step) % load.instances;
-				trackers[peer]?.adopt(deaths, answers, nowMs + TRANSIT_MS);
+				if (!isCut(index) && !isCut(peer)) {
+					trackers[peer]?.adopt(deaths, answers, nowMs + TRANSIT_MS);
+				}
 			}
 			nextPeers[index] = ((nextPeers[index] ?? 0) + GOSSIP_FAN_OUT) % load.instances;
 		}
@@ -140,6 +150,11 @@
 		if (nowMs % GOSSIP_INTERVAL_MS === 0) {
 			gossip(nowMs);
 		}
+		if (nowMs >= nextCutMs) {
+			nextCutMs += load.cutIntervalMs;
+			cutInstance = pickIndex(load.instances);
+			cutUntilMs = nowMs + CUT_MS;
+		}
 		if (nowMs >= nextRestartMs) {
 			nextRestartMs += restartIntervalMs;
 			const index = pickIndex(load.instances);
@@ -163,6 +178,7 @@
 		crashingPerSecond: 0.7,
 		stableMs: 3000,
 		restartedShare: 0,
+		cutIntervalMs: Infinity,
 		durationMs: 60_000,
 		seeds: [1, 2, 3],
 	},
@@ -173,6 +189,18 @@
 		crashingPerSecond: 1.5,
 		stableMs: 3000,
 		restartedShare: 3,
+		cutIntervalMs: Infinity,
+		durationMs: 60_000,
+		seeds: [1, 2, 3],
+	},
+	'4 instances, cut off one after the other': {
+		instances: 4,
+		engines: 6,
+		soundPerSecond: 30,
+		crashingPerSecond: 1.5,
+		stableMs: 3000,
+		restartedShare: 0,
+		cutIntervalMs: 6000,
 		durationMs: 60_000,
 		seeds: [1, 2, 3],
 	},
@@ -183,6 +211,7 @@
 		crashingPerSecond: 6,
 		stableMs: 4000,
 		restartedShare: 0.5,
+		cutIntervalMs: 7000,
 		durationMs: 60_000,
 		seeds: [1, 2],
 	},
@@ -193,6 +222,7 @@
 		crashingPerSecond: 10,
 		stableMs: 5000,
 		restartedShare: 0.5,
+		cutIntervalMs: 7000,
 		durationMs: 60_000,
 		seeds: [1, 2],
 	},
@@ -203,6 +233,7 @@
 		crashingPerSecond: 20,
 		stableMs: 5000,
 		restartedShare: 0.1,
+		cutIntervalMs: 7000,
 		durationMs: 20_000,
 		seeds: [1],
 	},
