Keep blocked prompt parts in the store, for a fleet that restarts as a whole

Change: the first serving instance writes the deaths of blocked parts to the store when they change; each instance reads them once when it starts.

--- a/packages/gateway/src/common/metadataStore.ts
+++ b/packages/gateway/src/common/metadataStore.ts
@@ -36,6 +36,9 @@
 	listTargets(signal: AbortSignal): Promise<ListedTargets>;
 	/** Lists the control addresses of the instances of the fleet. */
 	listInstances(signal: AbortSignal): Promise<readonly string[]>;
+	/** Reads the document that lists the blocked prompt parts; undefined if there is none. */
+	readBlockedPrompts(signal: AbortSignal): Promise<string | undefined>;
+	writeBlockedPrompts(text: string, signal: AbortSignal): Promise<void>;
 	/** Registers this instance under a lease, or renews the lease. */
 	renewRegistration(name: string, controlAddress: string, signal: AbortSignal): Promise<void>;
 }
--- a/packages/gateway/src/common/promptCrashTracker.ts
+++ b/packages/gateway/src/common/promptCrashTracker.ts
@@ -153,6 +153,11 @@
 		return reports.slice(0, MAX_GOSSIPED_DEATHS);
 	}
 
+	/** Lists the deaths for which parts are blocked. */
+	public listBlockingDeaths(nowMs: number): readonly PartDeathReport[] {
+		return this.listDeaths(nowMs).filter(([part]) => this.isBlocked(part, nowMs));
+	}
+
 	/** Lists the answers to gossip: those that disprove a recent suspicion. */
 	public listAnswers(nowMs: number): readonly PartAnswerReport[] {
 		const reports: PartAnswerReport[] = [];
@@ -259,6 +264,16 @@
 	}
 }
 
+export function isPartDeathReport(value: unknown): value is PartDeathReport {
+	return (
+		Array.isArray(value) &&
+		typeof value[0] === 'string' &&
+		typeof value[1] === 'string' &&
+		Number.isSafeInteger(value[2]) &&
+		Number.isSafeInteger(value[3])
+	);
+}
+
 /** Removes the entries that were set first until the map has at most `limit`. */
 function trimOldest(map: Map<string, unknown>, limit: number): void {
 	for (const key of map.keys()) {
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -3,7 +3,7 @@
 import { SuspectTracker } from '@papayawell/core';
 import type { EventLog } from '../common/eventLog.js';
 import type { CrashReport, PeerState } from '../common/peerState.js';
-import type { BlockedPart } from '../common/promptCrashTracker.js';
+import type { BlockedPart, PartDeathReport } from '../common/promptCrashTracker.js';
 import { PromptCrashTracker } from '../common/promptCrashTracker.js';
 import type { TargetState } from '../common/targetState.js';
 
@@ -168,6 +168,15 @@
 		return { promptDeaths: this.prompts.listDeaths(nowMs), promptAnswers: this.prompts.listAnswers(nowMs) };
 	}
 
+	public listBlockingDeaths(nowMs: number): readonly PartDeathReport[] {
+		return this.prompts.listBlockingDeaths(nowMs);
+	}
+
+	/** Adopts deaths that were kept in the store. */
+	public adoptPromptDeaths(deaths: readonly PartDeathReport[], nowMs: number): void {
+		this.prompts.adopt(deaths, [], nowMs);
+	}
+
 	/** Adopts what a peer knows of crashes. */
 	public adoptPeerState(
 		{ crashes, promptDeaths, promptAnswers }: Pick<PeerState, 'crashes' | 'promptDeaths' | 'promptAnswers'>,
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -14,6 +14,7 @@
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
 import { TargetView } from '../common/targetView.js';
+import { BlockedPromptsSync } from './blockedPromptsSync.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationSync } from './configurationSync.js';
 import { CrashTracker } from './crashTracker.js';
@@ -84,6 +85,7 @@
 	private readonly targets: TargetTable;
 	private readonly retries: RetryBudgets;
 	private readonly crashTracker: CrashTracker;
+	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
 	private readonly client: TargetClient;
 	private readonly server: CallerServer;
@@ -147,6 +149,15 @@
 				log.write('state', 'promptPartBlocked', { part, deaths });
 			},
 		});
+		this.blockedPromptsSync = new BlockedPromptsSync({
+			store,
+			log,
+			listBlockingDeaths: (nowMs) => this.crashTracker.listBlockingDeaths(nowMs),
+			adoptDeaths: (deaths, nowMs) => {
+				this.crashTracker.adoptPromptDeaths(deaths, nowMs);
+			},
+			readOwnRank: () => this.membership.peers.findRankAmongServing(performance.now()),
+		});
 		this.server = new CallerServer({
 			address: settings.self.callersAddress,
 			readSnapshot: () => (this.catchUp.isComplete ? this.activeConfiguration.current : undefined),
@@ -251,6 +262,7 @@
 			this.disposables.add(disposable);
 		}
 		this.disposables.add(this.configurationSync);
+		this.disposables.add(this.blockedPromptsSync);
 		this.disposables.add(this.targetListSync);
 	}
 
@@ -270,6 +282,7 @@
 		});
 		const restoreListener = this.dependencies.store.onDidRestore(({ previous, era }) => {
 			this.metrics.countDecision('storeRestored');
+			this.blockedPromptsSync.handleRestore();
 			this.dependencies.log.write('state', 'storeRestored', {
 				previousEra: previous.era,
 				era,
@@ -324,6 +337,7 @@
 		this.server.moveOffUnresponsiveTargets(nowMs);
 		this.shutdown.tick(nowMs);
 		this.requestLimitSync.tick(nowMs);
+		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.checkServing(nowMs);
 	}
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -4,6 +4,7 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { PeerState } from '../common/peerState.js';
+import { isPartDeathReport } from '../common/promptCrashTracker.js';
 
 /** Smaller states are sent as they are: they are few, and compression would cost more than it saves. */
 const MIN_COMPRESSED_BYTES = 1000;
@@ -84,16 +85,6 @@
 	);
 }
 
-function isPartDeathReport(value: unknown): boolean {
-	return (
-		Array.isArray(value) &&
-		typeof value[0] === 'string' &&
-		typeof value[1] === 'string' &&
-		Number.isSafeInteger(value[2]) &&
-		Number.isSafeInteger(value[3])
-	);
-}
-
 function isPartAnswerReport(value: unknown): boolean {
 	return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1]);
 }
--- a/packages/gateway/test/node/configurationSync.test.ts
+++ b/packages/gateway/test/node/configurationSync.test.ts
@@ -19,6 +19,8 @@
 		decodeConfiguration: (encoded) => read(Number(encoded)),
 		listTargets: neverResolve,
 		listInstances: neverResolve,
+		readBlockedPrompts: neverResolve,
+		writeBlockedPrompts: neverResolve,
 		renewRegistration: neverResolve,
 	};
 }
