Blame the part of a crashing prompt that no target has answered before

Callers who share their first part with crashing prompts would have been refused, too: with few sound prompts of the caller, none is answered between three deaths, so their first part is as suspect as the one to blame. Cause: all parts of a prompt were judged alike. Change: a part that a target has answered before takes five deaths in a row, a new one three; answers of suspect parts are gossiped also if they came before the deaths. Also, a target that comes back under its name can die again.

--- a/packages/gateway/src/common/promptCrashTracker.ts
+++ b/packages/gateway/src/common/promptCrashTracker.ts
@@ -1,11 +1,18 @@
 /**
  * Finds parts of prompts that crash targets. Requests with such a part may have nothing else in common, so the contents
  * of whole requests do not tell. A part is blocked when several targets in a row died before they answered a prompt
- * with it, and none has answered one since. All times are of one monotonic clock, in ms.
+ * with it, and none has answered one since. Other parts of these prompts are suspects, too, until one is answered. All times are of one monotonic clock, in ms.
  */
 
-/** Deaths in a row after which a part is blocked. */
-const DEATHS_TO_BLOCK = 3;
+/** Deaths in a row after which a part is blocked that no target is known to have answered before. */
+const DEATHS_TO_BLOCK_NEW = 3;
+/**
+ * The same for a part that was answered before. It takes more, because prompts that crash targets have such parts too,
+ * and are blocked first for the part that is to blame.
+ */
+const DEATHS_TO_BLOCK_ANSWERED = 5;
+/** Deaths of one target that are closer than this are reports of the same one. */
+const MIN_LIFETIME_MS = 1000;
 /** Targets that die within this time of each other count as one death. */
 const MIN_DEATH_INTERVAL_MS = 20;
 /** Times that peers report are rounded, and late by the time of transit. */
@@ -27,7 +34,7 @@
 const MAX_SUSPECT_PARTS = 1000;
 const MAX_ANSWERED_PARTS = 20_000;
 const MAX_GOSSIPED_DEATHS = 40;
-const MAX_GOSSIPED_DEATHS_PER_BLOCK = 4;
+const MAX_GOSSIPED_DEATHS_PER_BLOCK = 6;
 const MAX_GOSSIPED_ANSWERS = 40;
 
 export type PromptRisk =
@@ -75,11 +82,10 @@
 	public check(parts: readonly string[], nowMs: number): PromptRisk {
 		let risk: PromptRisk = { kind: 'none' };
 		for (const part of parts) {
-			const { length } = this.findDeathsInRow(part, nowMs);
-			if (length >= DEATHS_TO_BLOCK) {
+			if (this.isBlocked(part, nowMs)) {
 				return { kind: 'blocked', part };
 			}
-			if (length > 0) {
+			if (this.findDeathsInRow(part, nowMs).length > 0) {
 				risk = { kind: 'suspect', part };
 			}
 		}
@@ -132,19 +138,19 @@
 		const reports: PartDeathReport[] = [];
 		for (const [part, deaths] of this.deathsByPart) {
 			const inRow = this.findDeathsInRow(part, nowMs);
-			const reported =
-				inRow.length >= DEATHS_TO_BLOCK
-					? inRow.slice(-MAX_GOSSIPED_DEATHS_PER_BLOCK)
-					: deaths.filter(
-							({ isOwn, diedAtMs }) => (isOwn || inRow.length > 1) && nowMs - diedAtMs <= GOSSIP_MS,
-						);
+			const isBlocked = this.isBlocked(part, nowMs);
+			const reported = isBlocked
+				? inRow.slice(-MAX_GOSSIPED_DEATHS_PER_BLOCK)
+				: deaths.filter(
+						({ isOwn, diedAtMs }) => (isOwn || inRow.length > 1) && nowMs - diedAtMs <= GOSSIP_MS,
+					);
 			const encoded = reported.map(({ target, sentAtMs, diedAtMs }): PartDeathReport => [
 				part,
 				target,
 				Math.round(nowMs - sentAtMs),
 				Math.round(nowMs - diedAtMs),
 			]);
-			if (inRow.length >= DEATHS_TO_BLOCK) {
+			if (isBlocked) {
 				reports.unshift(...encoded);
 			} else {
 				reports.push(...encoded);
@@ -158,15 +164,12 @@
 		return this.listDeaths(nowMs).filter(([part]) => this.isBlocked(part, nowMs));
 	}
 
-	/** Lists the answers to gossip: those that disprove a recent suspicion. */
+	/** Lists the answers to gossip: the last one of each part that was suspected recently. */
 	public listAnswers(nowMs: number): readonly PartAnswerReport[] {
 		const reports: PartAnswerReport[] = [];
 		for (const [part, deaths] of this.deathsByPart) {
 			const answeredAtMs = this.answeredAtMs.get(part);
-			if (
-				answeredAtMs !== undefined &&
-				deaths.some(({ diedAtMs }) => diedAtMs < answeredAtMs && nowMs - diedAtMs <= GOSSIP_MS)
-			) {
+			if (answeredAtMs !== undefined && deaths.some(({ diedAtMs }) => nowMs - diedAtMs <= GOSSIP_MS)) {
 				reports.push([part, Math.round(nowMs - answeredAtMs)]);
 			}
 		}
@@ -190,7 +193,11 @@
 
 	private addDeath(part: string, death: KnownDeath, nowMs: number): void {
 		const known = this.deathsByPart.get(part) ?? [];
-		if (known.some(({ target }) => target === death.target)) {
+		const isKnown = known.some(
+			({ target, diedAtMs }) =>
+				target === death.target && Math.abs(diedAtMs - death.diedAtMs) < MIN_LIFETIME_MS,
+		);
+		if (isKnown) {
 			return;
 		}
 		const wasBlocked = this.isBlocked(part, nowMs);
@@ -198,9 +205,8 @@
 		this.deathsByPart.delete(part);
 		this.deathsByPart.set(part, deaths.slice(-MAX_DEATHS_PER_PART));
 		this.limitSuspects(nowMs);
-		const inRow = this.findDeathsInRow(part, nowMs);
-		if (!wasBlocked && inRow.length >= DEATHS_TO_BLOCK) {
-			this.onDidBlock({ part, deaths: inRow.length });
+		if (!wasBlocked && this.isBlocked(part, nowMs)) {
+			this.onDidBlock({ part, deaths: this.findDeathsInRow(part, nowMs).length });
 		}
 	}
 
@@ -210,9 +216,10 @@
 	 */
 	private findDeathsInRow(part: string, nowMs: number): readonly KnownDeath[] {
 		const ignoredUntilMs = Math.max(this.answeredAtMs.get(part) ?? -Infinity, nowMs - RETENTION_MS);
+		const deathsToBlock = this.countDeathsToBlock(part);
 		let inRow: KnownDeath[] = [];
 		for (const death of this.deathsByPart.get(part) ?? []) {
-			if (inRow.length < DEATHS_TO_BLOCK) {
+			if (inRow.length < deathsToBlock) {
 				inRow = inRow.filter(({ diedAtMs }) => death.diedAtMs - diedAtMs <= SUSPICION_MS);
 			}
 			const previousAtMs = inRow.at(-1)?.diedAtMs ?? -Infinity;
@@ -224,14 +231,14 @@
 				inRow.push(death);
 			}
 		}
-		if (inRow.length >= DEATHS_TO_BLOCK) {
+		if (inRow.length >= deathsToBlock) {
 			return inRow;
 		}
 		return inRow.filter(({ diedAtMs }) => nowMs - diedAtMs <= SUSPICION_MS);
 	}
 
 	private isTrialDue(part: string, nowMs: number): boolean {
-		const furtherDeaths = this.findDeathsInRow(part, nowMs).length - DEATHS_TO_BLOCK;
+		const furtherDeaths = this.findDeathsInRow(part, nowMs).length - this.countDeathsToBlock(part);
 		const blockMs = Math.min(MAX_BLOCK_MS, INITIAL_BLOCK_MS * BLOCK_FACTOR ** furtherDeaths);
 		const lastDiedAtMs = this.deathsByPart.get(part)?.at(-1)?.diedAtMs ?? nowMs;
 		return nowMs >= lastDiedAtMs + blockMs && nowMs >= (this.trialsUntilMs.get(part) ?? -Infinity);
@@ -260,7 +267,11 @@
 	}
 
 	private isBlocked(part: string, nowMs: number): boolean {
-		return this.findDeathsInRow(part, nowMs).length >= DEATHS_TO_BLOCK;
+		return this.findDeathsInRow(part, nowMs).length >= this.countDeathsToBlock(part);
+	}
+
+	private countDeathsToBlock(part: string): number {
+		return this.answeredAtMs.has(part) ? DEATHS_TO_BLOCK_ANSWERED : DEATHS_TO_BLOCK_NEW;
 	}
 }
 
--- a/packages/gateway/test/common/promptCrashTracker.test.ts
+++ b/packages/gateway/test/common/promptCrashTracker.test.ts
@@ -60,11 +60,39 @@
 
 	it('counts the death of one target once, whoever reports it', () => {
 		for (let index = 0; index < 5; index++) {
-			tracker.recordDeath(['part'], { target: 't', sentAtMs: 1000 * index, diedAtMs: 1000 * index + 100 });
+			tracker.recordDeath(['part'], { target: 't', sentAtMs: 150 * index, diedAtMs: 150 * index + 100 });
 		}
 		expect(tracker.check(['part'], 6000).kind).to.equal('suspect');
 	});
 
+	it('counts each death of a target that comes back under its name', () => {
+		for (let index = 0; index < 3; index++) {
+			tracker.recordDeath(['part'], { target: 't', sentAtMs: 3000 * index, diedAtMs: 3000 * index + 100 });
+		}
+		expect(tracker.check(['part'], 6200).kind).to.equal('blocked');
+	});
+
+	it('a part that was answered before is blocked after the one that is to blame', () => {
+		tracker.recordAnswer(['root'], 500);
+		for (const diedAtMs of [1000, 2000, 3000, 4000]) {
+			recordDeath(['root', 'bad'], diedAtMs);
+		}
+		expect(tracker.check(['root', 'bad'], 4100)).to.deep.equal({ kind: 'blocked', part: 'bad' });
+		expect(tracker.check(['root', 'good'], 4100).kind).to.equal('suspect');
+		recordDeath(['root'], 5000);
+		expect(tracker.check(['root', 'good'], 5100)).to.deep.equal({ kind: 'blocked', part: 'root' });
+	});
+
+	it('learns from peers that a part was answered before', () => {
+		const peer = makeTracker();
+		peer.recordAnswer(['root'], 500);
+		recordDeaths('root', [1000, 2000, 3000]);
+		expect(tracker.check(['root'], 3100).kind).to.equal('blocked');
+		peer.adopt(tracker.listDeaths(3100), [], 3100);
+		tracker.adopt([], peer.listAnswers(3200), 3200);
+		expect(tracker.check(['root'], 3200).kind).to.equal('suspect');
+	});
+
 	it('an answer that began after the deaths clears a part, one that began before does not', () => {
 		recordDeaths('part', [1000, 2000, 3000]);
 		tracker.recordAnswer(['part'], 2900);
--- a/packages/gateway/test/model/crashingPrompts.test.ts
+++ b/packages/gateway/test/model/crashingPrompts.test.ts
@@ -12,6 +12,8 @@
 	readonly instances: number;
 	readonly engines: number;
 	readonly soundPerSecond: number;
+	/** Callers, each with a first part of its own. */
+	readonly callers: number;
 	readonly crashingPerSecond: number;
 	/** Time after the fifth crash from which the bound holds. */
 	readonly stableMs: number;
@@ -37,18 +39,29 @@
 const BOUND_AFTER_CRASHES = 5;
 /** Least share of the sound prompts that has to reach an engine. */
 const MIN_SOUND_SHARE = 0.95;
+/** Least share of the sound prompts of the caller who sends the crashing ones. */
+const MIN_CALLER_SHARE = 0.5;
+/** The crashing prompts come from then on. */
+const CRASHING_FROM_MS = 10_000;
 const TICK_MS = 10;
 const ENGINE_RESTART_MS = 4000;
 const PREFILL_MS = 150;
 const ANSWER_MS = 600;
 const OUTLIVED_AFTER_MS = 100;
 const CUT_MS = 4000;
-const ROOTS = 5;
 const CHATS = 400;
 const TRANSIT_MS = 2;
 
-/** Returns the number of prompts with the part that reached engines after the bound, and the share of sound ones sent. */
-function runModel(load: Load, seed: number): { readonly further: number; readonly soundShare: number } {
+interface ModelResult {
+	/** Prompts with the part that reached engines after the bound. */
+	readonly further: number;
+	/** Share of the sound prompts that reached an engine. */
+	readonly soundShare: number;
+	/** The same, for the caller who sends the crashing prompts. */
+	readonly callerShare: number;
+}
+
+function runModel(load: Load, seed: number): ModelResult {
 	const generator = xoroshiro128plus(seed);
 	const random = (): number => uniformFloat64(generator);
 	const pickIndex = (count: number): number => Math.floor(random() * count);
@@ -65,17 +78,23 @@
 	let further = 0;
 	let sound = 0;
 	let soundSent = 0;
+	let callerSound = 0;
+	let callerSoundSent = 0;
 
 	const send = (isCrashing: boolean, nowMs: number): void => {
 		const instance = pickIndex(load.instances);
 		const middle = isCrashing ? 'bad' : `chat-${pickIndex(CHATS)}`;
-		const parts = [`root-${pickIndex(ROOTS)}`, middle];
+		const root = isCrashing ? 0 : pickIndex(load.callers);
+		const parts = [`root-${root}`, middle];
 		const risk = trackers[instance]?.admit(parts, nowMs, load.instances, random());
+		const isCallerSound = !isCrashing && root === 0;
 		sound += isCrashing ? 0 : 1;
+		callerSound += isCallerSound ? 1 : 0;
 		if (risk?.kind === 'blocked') {
 			return;
 		}
 		soundSent += isCrashing ? 0 : 1;
+		callerSoundSent += isCallerSound ? 1 : 0;
 		const isInTouch = instance !== cutInstance || nowMs > cutUntilMs + load.stableMs;
 		further += isCrashing && isInTouch && nowMs > boundFromMs ? 1 : 0;
 		const up = engineReadyAtMs.flatMap((readyAtMs, engine) => (readyAtMs <= nowMs ? [engine] : []));
@@ -125,7 +144,7 @@
 	for (let nowMs = 0; nowMs < load.durationMs; nowMs += TICK_MS) {
 		for (const [rate, isCrashing] of [
 			[load.soundPerSecond, false],
-			[load.crashingPerSecond, true],
+			[nowMs < CRASHING_FROM_MS ? 0 : load.crashingPerSecond, true],
 		] as const) {
 			const expected = (rate * TICK_MS) / 1000;
 			const count = Math.floor(expected) + (random() < expected % 1 ? 1 : 0);
@@ -167,7 +186,7 @@
 			trackers[index] = started;
 		}
 	}
-	return { further, soundShare: soundSent / sound };
+	return { further, soundShare: soundSent / sound, callerShare: callerSoundSent / callerSound };
 }
 
 const LOADS: Readonly<Record<string, Load>> = {
@@ -175,6 +194,7 @@
 		instances: 4,
 		engines: 6,
 		soundPerSecond: 30,
+		callers: 5,
 		crashingPerSecond: 0.7,
 		stableMs: 3000,
 		restartedShare: 0,
@@ -186,6 +206,7 @@
 		instances: 4,
 		engines: 6,
 		soundPerSecond: 30,
+		callers: 5,
 		crashingPerSecond: 1.5,
 		stableMs: 3000,
 		restartedShare: 3,
@@ -193,10 +214,23 @@
 		durationMs: 60_000,
 		seeds: [1, 2, 3],
 	},
+	'4 instances, callers with few prompts': {
+		instances: 4,
+		engines: 6,
+		soundPerSecond: 6,
+		callers: 20,
+		crashingPerSecond: 1,
+		stableMs: 3000,
+		restartedShare: 0,
+		cutIntervalMs: Infinity,
+		durationMs: 50_000,
+		seeds: [1, 2, 3],
+	},
 	'4 instances, cut off one after the other': {
 		instances: 4,
 		engines: 6,
 		soundPerSecond: 30,
+		callers: 5,
 		crashingPerSecond: 1.5,
 		stableMs: 3000,
 		restartedShare: 0,
@@ -208,6 +242,7 @@
 		instances: 28,
 		engines: 63,
 		soundPerSecond: 370,
+		callers: 5,
 		crashingPerSecond: 6,
 		stableMs: 4000,
 		restartedShare: 0.5,
@@ -219,6 +254,7 @@
 		instances: 79,
 		engines: 109,
 		soundPerSecond: 400,
+		callers: 5,
 		crashingPerSecond: 10,
 		stableMs: 5000,
 		restartedShare: 0.5,
@@ -230,11 +266,12 @@
 		instances: 323,
 		engines: 440,
 		soundPerSecond: 1600,
+		callers: 5,
 		crashingPerSecond: 20,
 		stableMs: 5000,
 		restartedShare: 0.1,
 		cutIntervalMs: 7000,
-		durationMs: 20_000,
+		durationMs: 24_000,
 		seeds: [1],
 	},
 };
@@ -244,9 +281,10 @@
 		for (const seed of load.seeds) {
 			it(`${name}: hardly any reaches an engine once five have crashed, sound ones do (seed ${seed})`, function () {
 				this.timeout(60_000);
-				const { further, soundShare } = runModel(load, seed);
+				const { further, soundShare, callerShare } = runModel(load, seed);
 				expect(further).to.be.at.most(MAX_FURTHER_REQUESTS);
 				expect(soundShare).to.be.at.least(MIN_SOUND_SHARE);
+				expect(callerShare).to.be.at.least(MIN_CALLER_SHARE);
 			});
 		}
 	}
