Count a death once, however late a peer reports it

A peer that was frozen reports ages without the time that it stood still, so a death would have counted again at each such report, and blocked sound parts. Change: one death for each start of a target, as it was; ages below zero make a peer's state invalid.

--- a/packages/gateway/src/common/promptCrashTracker.ts
+++ b/packages/gateway/src/common/promptCrashTracker.ts
@@ -1,7 +1,8 @@
 /**
  * Finds parts of prompts that crash targets. Requests with such a part may have nothing else in common, so the contents
  * of whole requests do not tell. A part is blocked when several targets in a row died before they answered a prompt
- * with it, and none has answered one since. Other parts of these prompts are suspects, too, until one is answered. All times are of one monotonic clock, in ms.
+ * with it, and none has answered one since. Other parts of these prompts are suspects, too, until one is answered. All
+ * times are of one monotonic clock, in ms.
  */
 
 /** Deaths in a row after which a part is blocked that no target is known to have answered before. */
@@ -11,8 +12,6 @@
  * and are blocked first for the part that is to blame.
  */
 const DEATHS_TO_BLOCK_ANSWERED = 5;
-/** Deaths of one target that are closer than this are reports of the same one. */
-const MIN_LIFETIME_MS = 1000;
 /** Targets that die within this time of each other count as one death. */
 const MIN_DEATH_INTERVAL_MS = 20;
 /** Times that peers report are rounded, and late by the time of transit. */
@@ -21,7 +20,7 @@
 const INITIAL_BLOCK_MS = 30_000;
 const BLOCK_FACTOR = 4;
 const MAX_BLOCK_MS = 600_000;
-/** How long the only trial of an instance may take, before it lets another one through. */
+/** How long an instance waits for the result of a trial before it may start another one. */
 const TRIAL_MS = 10_000;
 /** How long a death counts for a part that is not blocked. */
 const SUSPICION_MS = 60_000;
@@ -193,11 +192,8 @@
 
 	private addDeath(part: string, death: KnownDeath, nowMs: number): void {
 		const known = this.deathsByPart.get(part) ?? [];
-		const isKnown = known.some(
-			({ target, diedAtMs }) =>
-				target === death.target && Math.abs(diedAtMs - death.diedAtMs) < MIN_LIFETIME_MS,
-		);
-		if (isKnown) {
+		// Times do not tell a second death from a report that a frozen peer sends late.
+		if (known.some(({ target }) => target === death.target)) {
 			return;
 		}
 		const wasBlocked = this.isBlocked(part, nowMs);
@@ -280,11 +276,19 @@
 		Array.isArray(value) &&
 		typeof value[0] === 'string' &&
 		typeof value[1] === 'string' &&
-		Number.isSafeInteger(value[2]) &&
-		Number.isSafeInteger(value[3])
+		isAge(value[2]) &&
+		isAge(value[3])
 	);
 }
 
+export function isPartAnswerReport(value: unknown): value is PartAnswerReport {
+	return Array.isArray(value) && typeof value[0] === 'string' && isAge(value[1]);
+}
+
+function isAge(value: unknown): boolean {
+	return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 /** Removes the entries that were set first until the map has at most `limit`. */
 function trimOldest(map: Map<string, unknown>, limit: number): void {
 	for (const key of map.keys()) {
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -4,7 +4,7 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { PeerState } from '../common/peerState.js';
-import { isPartDeathReport } from '../common/promptCrashTracker.js';
+import { isPartAnswerReport, isPartDeathReport } from '../common/promptCrashTracker.js';
 
 /** Smaller states are sent as they are: they are few, and compression would cost more than it saves. */
 const MIN_COMPRESSED_BYTES = 1000;
@@ -81,10 +81,7 @@
 		Array.isArray(value) &&
 		isTargetStart(value) &&
 		(value[2] === null || (typeof value[2] === 'number' && value[2] >= 0)) &&
-		Number.isSafeInteger(value[3])
+		Number.isSafeInteger(value[3]) &&
+		Number(value[3]) >= 0
 	);
 }
-
-function isPartAnswerReport(value: unknown): boolean {
-	return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1]);
-}
