--- a/packages/core/src/common/outcome/suspectTracker.ts
+++ b/packages/core/src/common/outcome/suspectTracker.ts
@@ -1,8 +1,8 @@
 /**
  * Finds and quarantines requests whose content crashes targets. Every request in flight on a target that
- * died becomes a suspect, unless its answer had begun long before. Suspects are placed on separate targets, so that a second crash identifies the
- * cause, which is then quarantined. Requests with equal content share a fingerprint. Times are epoch ms,
- * because facts with an expiry time are shared with other routers.
+ * died becomes a suspect, unless its answer had begun long before. Suspects are placed on separate targets,
+ * so that a second crash identifies the cause, which is then quarantined. Requests with equal content share a
+ * fingerprint. Times are epoch ms, because facts with an expiry time are shared with other routers.
  */
 import type { Fact } from '../fleet/peerMessages.js';
 
--- a/packages/gateway/src/common/targetRequestLimit.ts
+++ b/packages/gateway/src/common/targetRequestLimit.ts
@@ -33,6 +33,8 @@
 }
 
 export class TargetRequestLimit {
+	/** Whether the target has named a limit that cannot be read, so that this is logged once. */
+	public hasInvalidStatement = false;
 	private observed: ObservedLimit | undefined;
 	private sharePerSecond = 0;
 	private tokens = 0;
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -16,8 +16,6 @@
 	public readonly health = new TargetHealth();
 	public readonly prefixCache = new PrefixCacheIndex();
 	public readonly requestLimit = new TargetRequestLimit();
-	/** Whether the target has named a limit that cannot be read. */
-	public hasInvalidLimit = false;
 	/** Requests of this instance in flight on the target. */
 	public ownRequests = 0;
 	/** Requests of the other instances in flight on the target, as last reported. */
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -22,8 +22,6 @@
 const LEAST_URGENT_PRIORITY = 9;
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
 const MIN_PREFILL_TOKENS_PER_MS = 10;
-/** When a caller returns if only other instances may use the targets, which are at their limits. */
-const OTHER_SHARE_DELAY_MS = 400;
 
 export class Exchange {
 	private readonly service: string;
@@ -342,11 +340,7 @@
 		}
 		const pauseMs = this.parts.targets.computePause(this.service, performance.now());
 		if (pauseMs > 0) {
-			const returnDelayMs = computeReturnDelay(
-				Number.isFinite(pauseMs) ? pauseMs : OTHER_SHARE_DELAY_MS,
-				this.priority,
-				Math.random(),
-			);
+			const returnDelayMs = computeReturnDelay(pauseMs, this.priority, Math.random());
 			this.refuse('targetsBackingOff', detail, returnDelayMs);
 			return;
 		}
--- a/packages/gateway/src/node/requestLimitSync.ts
+++ b/packages/gateway/src/node/requestLimitSync.ts
@@ -46,10 +46,10 @@
 		const statement = parseRequestLimit(text);
 		switch (statement.kind) {
 			case 'invalid':
-				if (target.hasInvalidLimit) {
+				if (target.requestLimit.hasInvalidStatement) {
 					return;
 				}
-				target.hasInvalidLimit = true;
+				target.requestLimit.hasInvalidStatement = true;
 				this.parts.log.write('decision', 'targetLimit', { target: target.record.id, ...statement });
 				return;
 			case 'none':
