Log the versions of targets, and which request a stream resumes

Change: the list of targets carries the version of their software, requestEnded names the versions of its attempts and the attempt that began the stream. No decision changed. Measured: tests of the gateway and of the decoders pass.

--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -23,6 +23,8 @@
 	readonly prompt: readonly PromptPart[];
 	/** Event after which the caller resumes a stream; undefined to start at the beginning. */
 	readonly lastEventId: string | undefined;
+	/** The caller's attempt that brought the first event of the stream that it resumes; undefined if it names none. */
+	readonly resumedAttemptId: string | undefined;
 }
 
 /** Details that the gateway adds to a request when it dispatches it to a target. */
--- a/packages/gateway/src/common/targetListDocument.ts
+++ b/packages/gateway/src/common/targetListDocument.ts
@@ -44,6 +44,7 @@
 		typeof record.zone === 'string' &&
 		typeof record.slots === 'number' &&
 		typeof record.isLeaving === 'boolean' &&
-		typeof record.startedAtMs === 'number'
+		typeof record.startedAtMs === 'number' &&
+		typeof record.version === 'string'
 	);
 }
--- a/packages/gateway/src/common/targetRecord.ts
+++ b/packages/gateway/src/common/targetRecord.ts
@@ -15,6 +15,8 @@
 	readonly isLeaving: boolean;
 	/** Start of the process in epoch ms, by which a restart under the same id is detected. 0 if unknown. */
 	readonly startedAtMs: number;
+	/** Version of the software, not of the models. Empty if unknown. */
+	readonly version: string;
 }
 
 /** Returns whether two records describe the same process in the same state. */
@@ -26,6 +28,7 @@
 		a.zone === b.zone &&
 		a.slots === b.slots &&
 		a.isLeaving === b.isLeaving &&
-		a.startedAtMs === b.startedAtMs
+		a.startedAtMs === b.startedAtMs &&
+		a.version === b.version
 	);
 }
--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -13,6 +13,7 @@
 
 export class ExchangeReport {
 	private readonly placements: string[] = [];
+	private readonly versions: string[] = [];
 	private firstByteAtMs: number | undefined;
 
 	constructor(
@@ -23,6 +24,7 @@
 
 	/** Records the target of the next attempt and the reason for its choice. */
 	public recordPlacement({ target, reason, meanLoad, cachedTokens }: Placement): void {
+		this.versions.push(target.record.version);
 		this.placements.push(
 			`${target.record.id}:${reason}:${target.load}/${meanLoad.toFixed(1)}:${cachedTokens}`,
 		);
@@ -82,6 +84,8 @@
 			configurationVersion,
 			targetsAgeMs: Math.round(readTargetsAge()),
 			path: this.placements.join(' '),
+			versions: this.versions.join(' '),
+			resumes: request.resumedAttemptId,
 			runs: history.runs,
 			firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
 			totalMs: Math.round(nowMs - receivedAtMs),
--- a/packages/gateway/test/common/fixtures.ts
+++ b/packages/gateway/test/common/fixtures.ts
@@ -40,6 +40,7 @@
 		slots: 64,
 		isLeaving: false,
 		startedAtMs: 1,
+		version: 'v1',
 		...changes,
 	};
 }
