Resume streams only at the version of the target that began them

Cause: the choice of a target for the rest of a stream did not know versions, neither after a broken attempt nor when a caller takes the stream up at another instance, which cannot know what began it. Class: a decision about the rest of something that forgets a property of its beginning. Why it works: the version is taken when the request is sent, so no later change of the list changes it, and the instance that began the stream need not live.

--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -14,6 +14,12 @@
 	/** All targets of the service asked for a pause. */
 	| 'targetsBackingOff'
 	| 'crashingRequest'
+	/** No instance knows which version began the stream that the caller resumes. */
+	| 'unknownStream'
+	/** The instances that may know which version began the stream did not reply in time. */
+	| 'streamNotFound'
+	/** No target of the version that began the stream is left. */
+	| 'versionGone'
 	| 'timeoutBeforeRun'
 	| 'timeout'
 	| 'targetFailed'
@@ -56,11 +62,15 @@
 			return { status: 401, retryAfterMs: undefined };
 		case 'missingId':
 			return { status: 400, retryAfterMs: undefined };
+		case 'unknownStream':
+		case 'versionGone':
+			return { status: 503, retryAfterMs: undefined };
 		case 'bodyTooLarge':
 			return { status: 413, retryAfterMs: undefined };
 		case 'storeLost':
 			return { status: 503, retryAfterMs: addJitter(OUTAGE_RETRY_AFTER_MS) };
 		case 'noConfiguration':
+		case 'streamNotFound':
 		case 'noTarget':
 			return { status: 503, retryAfterMs: addJitter(RECOVERY_RETRY_AFTER_MS) };
 		case 'targetsBackingOff':
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -2,6 +2,7 @@
 import { chooseByCachedPrefix } from './cacheAwarePlacement.js';
 import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
+import type { TargetRecord } from './targetRecord.js';
 import { TargetState } from './targetState.js';
 import type { TargetListChange } from './targetView.js';
 
@@ -30,6 +31,8 @@
 	readonly excluded: ReadonlySet<string>;
 	/** The only targets that may be chosen; undefined if the request may run on any. */
 	readonly allowed: ReadonlySet<string> | undefined;
+	/** Version of the software that the target must have; undefined if any may serve. */
+	readonly version: string | undefined;
 }
 
 export type PlacementReason =
@@ -114,12 +117,18 @@
 	/**
 	 * Returns the time until a target of a service takes requests of this instance again, in ms; 0 if one does, or if none
 	 * is known that will, and infinity if only other instances may use the targets.
+	 * @param version version that the target must have; undefined if any may serve
 	 */
-	public computePause(service: string, nowMs: number): number {
-		const staying = (this.byService.get(service) ?? []).filter(({ record }) => !record.isLeaving);
+	public computePause(service: string, version: string | undefined, nowMs: number): number {
+		const staying = this.listStaying(service, version);
 		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.computePause(nowMs)));
 	}
 
+	/** Whether a service has a target of a version that is not leaving. */
+	public hasVersion(service: string, version: string): boolean {
+		return this.listStaying(service, version).length > 0;
+	}
+
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
 		const all = this.byService.get(request.service) ?? [];
 		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
@@ -142,6 +151,12 @@
 		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
 	}
 
+	private listStaying(service: string, version: string | undefined): readonly TargetState[] {
+		return (this.byService.get(service) ?? []).filter(
+			({ record }) => !record.isLeaving && isOfVersion(record, version),
+		);
+	}
+
 	/** Chooses an unhealthy target if there is no other. */
 	private chooseLastResort(
 		serving: readonly TargetState[],
@@ -191,8 +206,12 @@
 	return reachable.filter(({ health }) => !health.isOutlier(lowestFailureRate));
 }
 
-function isAllowed({ record }: TargetState, { excluded, allowed }: PlacementRequest): boolean {
-	return !excluded.has(record.id) && (allowed?.has(record.id) ?? true);
+function isAllowed({ record }: TargetState, { excluded, allowed, version }: PlacementRequest): boolean {
+	return !excluded.has(record.id) && (allowed?.has(record.id) ?? true) && isOfVersion(record, version);
+}
+
+function isOfVersion(record: TargetRecord, version: string | undefined): boolean {
+	return version === undefined || record.version === version;
 }
 
 function isReachable(target: TargetState, nowMs: number): boolean {
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -24,7 +24,9 @@
 const MIN_PREFILL_TOKENS_PER_MS = 10;
 
 export class Exchange {
-	private readonly service: string;
+	private service: string;
+	/** Version at which the stream has to go on; undefined while any may serve. */
+	private version: string | undefined;
 	private readonly prompt: PromptChain;
 	private readonly history: AttemptHistory;
 	private readonly report: ExchangeReport;
@@ -46,7 +48,7 @@
 	) {
 		const { route, request, receivedAtMs } = input;
 		this.service = pickService(route.services, Math.random()) ?? '';
-		this.report = new ExchangeReport(parts, input, this.service);
+		this.report = new ExchangeReport(parts, input);
 		this.history = new AttemptHistory(route.maxAttempts);
 		this.prompt = route.hasAffinity ? buildPromptChain(request.prompt) : [];
 		this.lastEventId = request.lastEventId;
@@ -61,6 +63,14 @@
 	}
 
 	public start(): void {
+		if (this.isResumedByCaller()) {
+			void this.startFromOrigin();
+		} else {
+			this.startAttempts();
+		}
+	}
+
+	private startAttempts(): void {
 		const { crashes, countRequest } = this.parts;
 		countRequest(this.service);
 		const risk = crashes.check(this.input.traits, performance.now());
@@ -117,10 +127,45 @@
 		this.sendOrEnd(placement);
 	}
 
+	private isResumedByCaller(): boolean {
+		const { request, route } = this.input;
+		const namesStream = request.lastEventId !== undefined || request.resumedAttemptId !== undefined;
+		return route.kind === 'stream' && namesStream;
+	}
+
+	/** Starts at the version that began the stream which the caller resumes. */
+	private async startFromOrigin(): Promise<void> {
+		const { request, route } = this.input;
+		const lookup = await this.parts.findStreamOrigin(request.resumedAttemptId, this.service);
+		if (this.isEnded) {
+			return;
+		}
+		if (lookup.kind === 'unknown') {
+			const reason = lookup.hasAllReplies ? 'unknownStream' : 'streamNotFound';
+			this.refuse(reason, 'the version that began the stream is not known');
+			return;
+		}
+		const { service, version } = lookup.origin;
+		this.version = version;
+		if (route.services.some((weighted) => weighted.service === service)) {
+			this.service = service;
+		}
+		this.startAttempts();
+	}
+
 	private sendNext(): void {
 		const placement = this.choosePlacement(this.history.excluded);
 		if (placement === undefined) {
-			this.endWithFailure('noTarget', `service ${this.service} has no target that takes work`);
+			const isVersionGone =
+				this.version !== undefined && !this.parts.targets.hasVersion(this.service, this.version);
+			if (isVersionGone) {
+				this.endWithFailure(
+					'versionGone',
+					`service ${this.service} has no target of version ${this.version}`,
+				);
+			} else {
+				this.endWithFailure('noTarget', `service ${this.service} has no target that takes work`);
+			}
 			return;
 		}
 		this.sendOrEnd(placement);
@@ -145,6 +190,7 @@
 				hasCacheTransfer: this.parts.hasCacheTransfer(this.service),
 				excluded,
 				allowed: this.history.allowed,
+				version: this.version,
 			},
 			performance.now(),
 		);
@@ -166,6 +212,7 @@
 			},
 			onEvent: (id) => {
 				this.parts.crashes.recordAnswering(run, performance.now());
+				this.recordOrigin(attempt);
 				this.hasForwardedEvents = true;
 				this.lastEventId = id ?? this.lastEventId;
 			},
@@ -211,6 +258,14 @@
 		return true;
 	}
 
+	/** Called before each event: the first one that the caller gets decides on the version of the stream. */
+	private recordOrigin({ version }: RunningAttempt): void {
+		if (!this.hasForwardedEvents) {
+			this.version = version;
+			this.parts.recordStreamOrigin(this.input.request.attemptId, { service: this.service, version });
+		}
+	}
+
 	private handleRequestWriting(): void {
 		const isFirstRunOnTarget = this.history.recordSend(this.attempt?.target.record.id);
 		if (this.attempt !== undefined) {
@@ -338,7 +393,7 @@
 			this.refuse('targetFailed', detail);
 			return;
 		}
-		const pauseMs = this.parts.targets.computePause(this.service, performance.now());
+		const pauseMs = this.parts.targets.computePause(this.service, this.version, performance.now());
 		if (pauseMs > 0) {
 			const returnDelayMs = computeReturnDelay(pauseMs, this.priority, Math.random());
 			this.refuse('targetsBackingOff', detail, returnDelayMs);
@@ -393,7 +448,7 @@
 		}
 		this.isEnded = true;
 		clearTimeout(this.timer);
-		this.report.logEnd(outcome, this.history, this.lastEventId, fields);
+		this.report.logEnd(outcome, this.service, this.history, this.lastEventId, fields);
 		this.onEnded();
 	}
 }
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -3,10 +3,12 @@
 import type { Customer, Route } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
 import type { PromptChain } from '../common/promptChain.js';
+import type { StreamOrigin } from '../common/streamOrigins.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
 import type { CrashTracker, RequestTraits, TargetRun } from './crashTracker.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { OriginLookup } from './streamOriginSync.js';
 import type { TargetClient } from './targetClient.js';
 
 export interface ExchangeParts {
@@ -26,6 +28,10 @@
 	readonly hasCacheTransfer: (service: string) => boolean;
 	/** Records that a prompt was sent to a target, which caches it. */
 	readonly recordPrompt: (target: TargetState, prompt: PromptChain) => void;
+	/** Finds what began the stream that a caller resumes. */
+	readonly findStreamOrigin: (attemptId: string | undefined, service: string) => Promise<OriginLookup>;
+	/** Makes known to the fleet what began a stream, before the caller gets its first event. */
+	readonly recordStreamOrigin: (attemptId: string, origin: StreamOrigin) => void;
 	/** Time since the store confirmed the target list, in ms. */
 	readonly readTargetsAge: () => number;
 }
--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -19,7 +19,6 @@
 	constructor(
 		private readonly parts: Pick<ExchangeParts, 'log' | 'metrics' | 'readTargetsAge'>,
 		private readonly input: ExchangeInput,
-		private readonly service: string,
 	) {}
 
 	/** Records the target of the next attempt and the reason for its choice. */
@@ -62,6 +61,7 @@
 	/** @param fields log fields specific to this outcome */
 	public logEnd(
 		outcome: string,
+		service: string,
 		history: AttemptHistory,
 		lastEventId: string | undefined,
 		fields: Readonly<Record<string, string | number | undefined>>,
@@ -79,7 +79,7 @@
 			id: request.attemptId,
 			outcome,
 			route: route.name,
-			service: this.service,
+			service,
 			customer: customer?.name,
 			configurationVersion,
 			targetsAgeMs: Math.round(readTargetsAge()),
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -40,6 +40,10 @@
 	/** Called when the peers that are known from the seeds, and from the store if it answers, were sent a datagram. */
 	readonly onDidContactPeers: () => void;
 	readonly onPeerState: (state: PeerState, previous: PeerState | undefined) => void;
+	/** Called when a peer is heard of for the first time since its start. */
+	readonly onPeerStart: (instance: FleetInstance) => void;
+	/** Called with a message that a peer sent to this instance alone. */
+	readonly onMessage: (message: Buffer, controlAddress: string) => void;
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
 }
 
@@ -68,6 +72,9 @@
 			onState: (state) => {
 				this.handleState(state);
 			},
+			onMessage: (message, controlAddress) => {
+				parts.onMessage(message, controlAddress);
+			},
 			documents: parts.documents,
 			onError: (detail) => {
 				this.logError('peerLinkError', detail);
@@ -121,6 +128,10 @@
 		this.transport.send(state, [...addresses], this.listCompressedAddresses());
 	}
 
+	public sendMessage(message: Buffer, controlAddress: string): void {
+		this.transport.sendMessage(message, controlAddress);
+	}
+
 	public fetch(controlAddress: string, path: string): Promise<string | undefined> {
 		return this.transport.fetch(controlAddress, path);
 	}
@@ -174,6 +185,7 @@
 				...this.parts.describeDepartedTargets(),
 			};
 			this.transport.send(answer, [controlAddress]);
+			this.parts.onPeerStart(state.instance);
 		}
 		if (isStarted || previous.isServing !== state.isServing) {
 			this.parts.log.write('state', 'peerChanged', {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -10,6 +10,7 @@
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
 import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
+import { VersionHistory } from '../common/versionHistory.js';
 import type { TargetState } from '../common/targetState.js';
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
@@ -24,6 +25,7 @@
 import { PromptCacheSync } from './promptCacheSync.js';
 import { RequestLimitSync } from './requestLimitSync.js';
 import { Shutdown } from './shutdown.js';
+import { StreamOriginSync } from './streamOriginSync.js';
 import { TargetClient } from './targetClient.js';
 import type { TargetChangeSource } from './targetListSync.js';
 import { TargetListSync } from './targetListSync.js';
@@ -82,11 +84,13 @@
 	private readonly disposables = new DisposableStore();
 	private readonly activeConfiguration = new ActiveConfiguration();
 	private readonly view = new TargetView();
+	private readonly versionHistory: VersionHistory;
 	private readonly targets: TargetTable;
 	private readonly retries: RetryBudgets;
 	private readonly crashTracker: CrashTracker;
 	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
+	private readonly streamOriginSync: StreamOriginSync;
 	private readonly client: TargetClient;
 	private readonly server: CallerServer;
 	private readonly membership: FleetMembership;
@@ -101,6 +105,7 @@
 	constructor(private readonly dependencies: GatewayDependencies) {
 		const { settings, store, codec, log } = dependencies;
 		this.catchUp = new StartupCatchUp(performance.now(), settings.isFirstStart);
+		this.versionHistory = new VersionHistory(settings.isFirstStart);
 		this.targets = new TargetTable(settings.self.zone);
 		this.retries = new RetryBudgets(settings.retries);
 		this.metrics = new GatewayMetrics(() => ({
@@ -137,6 +142,17 @@
 			listOthers: () =>
 				this.membership.peers.listServing(performance.now()).map(({ instance }) => instance.name),
 		});
+		this.streamOriginSync = new StreamOriginSync({
+			log,
+			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
+			send: (controlAddress, message) => {
+				this.membership.sendMessage(message, controlAddress);
+			},
+			describeVersions: (service) => {
+				const nowMs = performance.now();
+				return this.versionHistory.describe(service, this.view.computeAge(nowMs), nowMs);
+			},
+		});
 		this.crashTracker = new CrashTracker({
 			log,
 			probe: (target) => this.client.probe(target),
@@ -181,6 +197,10 @@
 				recordPrompt: (target, prompt) => {
 					this.promptCacheSync.recordPlacement(target, prompt, performance.now());
 				},
+				findStreamOrigin: (attemptId, service) => this.streamOriginSync.find(attemptId, service),
+				recordStreamOrigin: (attemptId, origin) => {
+					this.streamOriginSync.record(attemptId, origin);
+				},
 				readTargetsAge: () => this.view.computeAge(performance.now()),
 			},
 		});
@@ -198,6 +218,12 @@
 				this.peerExchange.handlePeerState(state);
 				this.checkServing(performance.now());
 			},
+			onPeerStart: (instance) => {
+				this.streamOriginSync.handlePeerStart(instance);
+			},
+			onMessage: (message, controlAddress) => {
+				this.streamOriginSync.handleMessage(message, controlAddress);
+			},
 			documents: {
 				'/configuration': () => this.activeConfiguration.current?.encoded,
 				'/targets': () => this.peerExchange.encodeTargets(),
@@ -389,6 +415,7 @@
 
 	private handleTargetChange(change: TargetListChange, source: TargetChangeSource): void {
 		this.targets.applyChange(change);
+		this.versionHistory.update(this.view.records, performance.now());
 		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
 			this.client.closePools(id);
 		}
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -17,11 +17,15 @@
 const FETCH_TIMEOUT_MS = 800;
 /** Larger datagrams are not sent: they would be fragmented in transit. */
 const MAX_DATAGRAM_BYTES = 60_000;
+/** First byte of a datagram that holds a message rather than a state; neither JSON nor a compressed state begins with it. */
+const MESSAGE_MARK = 2;
 
 export interface PeerTransportOptions {
 	/** IP address and port, for datagrams and HTTP. */
 	readonly address: string;
 	readonly onState: (state: PeerState) => void;
+	/** @param controlAddress address of the instance that sent the message */
+	readonly onMessage: (message: Buffer, controlAddress: string) => void;
 	/** Documents that peers may fetch, by path. */
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
 	readonly onError: (detail: string) => void;
@@ -34,8 +38,12 @@
 
 	constructor(private readonly options: PeerTransportOptions) {
 		this.socket = createSocket('udp4');
-		this.socket.on('message', (bytes) => {
-			this.handleDatagram(bytes);
+		this.socket.on('message', (bytes, { address, port }) => {
+			if (bytes[0] === MESSAGE_MARK) {
+				options.onMessage(bytes.subarray(1), `${address}:${port}`);
+			} else {
+				this.handleDatagram(bytes);
+			}
 		});
 		this.socket.on('error', (error) => {
 			options.onError(error.message);
@@ -75,16 +83,15 @@
 			return;
 		}
 		for (const address of this.selectRecipients(addresses)) {
-			const bytes = compressedAddresses.has(address) ? compressed : plain;
-			const { host, port } = splitAddress(address);
-			this.socket.send(bytes, port, host, (error) => {
-				if (error !== null) {
-					this.options.onError(error.message);
-				}
-			});
+			this.sendDatagram(compressedAddresses.has(address) ? compressed : plain, address);
 		}
 	}
 
+	/** Sends a message to one instance, once; it may get lost. */
+	public sendMessage(message: Buffer, address: string): void {
+		this.sendDatagram(Buffer.concat([Buffer.of(MESSAGE_MARK), message]), address);
+	}
+
 	/** Fetches a document from a peer; undefined if the peer has none or does not answer. */
 	public fetch(address: string, path: string): Promise<string | undefined> {
 		const { host, port } = splitAddress(address);
@@ -116,6 +123,15 @@
 		this.server.closeAllConnections();
 	}
 
+	private sendDatagram(bytes: Buffer, address: string): void {
+		const { host, port } = splitAddress(address);
+		this.socket.send(bytes, port, host, (error) => {
+			if (error !== null) {
+				this.options.onError(error.message);
+			}
+		});
+	}
+
 	/** In a large fleet each round continues with the addresses after those of the last one. */
 	private selectRecipients(addresses: readonly string[]): readonly string[] {
 		if (addresses.length <= GOSSIP_FAN_OUT) {
--- a/packages/gateway/src/node/runningAttempt.ts
+++ b/packages/gateway/src/node/runningAttempt.ts
@@ -8,6 +8,9 @@
 	/** Whether no earlier attempt ran on the target. */
 	public isFirstRunOnTarget = false;
 
+	/** Version of the target when it got the request, whatever the list shows later. */
+	public readonly version: string;
+
 	/** @param prefillTokens prompt tokens that the target has yet to prefill for this attempt */
 	constructor(
 		public readonly target: TargetState,
@@ -15,6 +18,7 @@
 		public readonly run: TargetRun,
 		private prefillTokens: number,
 	) {
+		this.version = target.record.version;
 		target.ownPrefillTokens += prefillTokens;
 	}
 
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -10,6 +10,7 @@
 	hasCacheTransfer: false,
 	excluded: new Set(),
 	allowed: undefined,
+	version: undefined,
 };
 
 function makeTable(...ids: string[]): TargetTable {
@@ -31,15 +32,32 @@
 		}
 	});
 
+	it('chooses only targets of the version that began a stream, though another is idle', () => {
+		const table = makeTable('x', 'y');
+		table.applyChange({ added: [], changed: [makeRecord('y', { version: 'v2' })], removed: [] });
+		const loaded = table.find('y');
+		if (loaded !== undefined) {
+			loaded.ownRequests = 5;
+		}
+		for (let index = 0; index < 20; index++) {
+			expect(choose(table, { version: 'v2' })).to.equal('y');
+		}
+		expect(choose(table, { version: 'v3' })).to.equal(undefined);
+		expect([table.hasVersion('engines', 'v2'), table.hasVersion('engines', 'v3')]).to.deep.equal([
+			true,
+			false,
+		]);
+	});
+
 	it('does not choose a target that wants no requests, even if there is no other, until its time is over', () => {
 		const table = makeTable('x', 'y');
 		table.find('x')?.recordBackOff(1000);
 		expect(choose(table, {}, 500)).to.equal('y');
 		expect(choose(table, { excluded: new Set(['y']) }, 500)).to.equal(undefined);
-		expect(table.computePause('engines', 500)).to.equal(0);
+		expect(table.computePause('engines', undefined, 500)).to.equal(0);
 		table.find('y')?.recordBackOff(800);
 		expect(choose(table, {}, 500)).to.equal(undefined);
-		expect(table.computePause('engines', 500)).to.equal(300);
+		expect(table.computePause('engines', undefined, 500)).to.equal(300);
 		expect(choose(table, { excluded: new Set(['y']) }, 1000)).to.equal('x');
 	});
 
--- a/packages/gateway/test/model/fleetModel.ts
+++ b/packages/gateway/test/model/fleetModel.ts
@@ -172,6 +172,7 @@
 				hasCacheTransfer: true,
 				excluded: new Set(),
 				allowed: undefined,
+				version: undefined,
 			},
 			this.nowMs,
 		);
--- a/packages/gateway/test/node/promptCacheSync.test.ts
+++ b/packages/gateway/test/node/promptCacheSync.test.ts
@@ -114,6 +114,7 @@
 		hasCacheTransfer: true,
 		excluded: new Set<string>(),
 		allowed: undefined,
+		version: undefined,
 	};
 	const placement = targets.choose(request, 0);
 	if (placement !== undefined) {
