Relay requests of instances that reach no target, and leave them out of the directory

Cause: an instance without a path to the targets went on to be named to callers, and could only refuse them; callers keep an address for seconds, so leaving the directory alone does not serve their next tries. Class: a failure on this side of the wire taken for that of each target. When the path is back, the failures recorded for targets are forgotten. Why it works: the second instance needs nothing from the first but its connection, the return of the path does not depend on a request, and a refusal is told from a target's answer by the signature.

--- a/packages/gateway/src/common/attemptHistory.ts
+++ b/packages/gateway/src/common/attemptHistory.ts
@@ -26,6 +26,11 @@
 		return this.sendCount;
 	}
 
+	/** Targets on which the request ran or may have run. */
+	public get usedTargets(): readonly string[] {
+		return [...this.targetsRunOn];
+	}
+
 	/** Targets to which the request is not sent again. */
 	public get excluded(): ReadonlySet<string> {
 		return this.excludedTargets;
@@ -64,6 +69,12 @@
 		return true;
 	}
 
+	/** Records a target on which the request ran or may have run before it was relayed to this instance. */
+	public recordEarlierRun(target: string): void {
+		this.runCount += 1;
+		this.targetsRunOn.add(target);
+	}
+
 	/** Removes the latest send from the runs: the target certainly did not run it. */
 	public recordNotRun(target: string, wasFirstRunThere: boolean): void {
 		this.runCount -= 1;
--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -40,6 +40,16 @@
 	readonly cacheSourceAddress: string | undefined;
 }
 
+/** Details that the gateway adds to a request when another instance is to dispatch it. */
+export interface RelayDetails {
+	readonly remainingMs: number;
+	readonly apiKey: string | undefined;
+	/** Event after which the stream is resumed. */
+	readonly resumeAfterEventId: string | undefined;
+	/** The caller's attempt that brought the first event of the stream. */
+	readonly resumedAttemptId: string | undefined;
+}
+
 /** Statements in the head of a target's response. */
 export interface TargetResponseInfo {
 	/** The attempt to which the target responds; undefined if the response names none. */
@@ -61,6 +71,11 @@
 	readonly retryAfter: string | undefined;
 }
 
+/** Whether a status tells a caller that the request has not run and will not. */
+export function isNotExecutedStatus(status: number): boolean {
+	return status === 408 || status === 421 || status === 429 || status === 503;
+}
+
 /** Translates between the headers of a deployment and the gateway's types. */
 export interface HeaderCodec {
 	/** Reads the caller's API key, which is not part of the request because it is not forwarded. */
@@ -68,6 +83,8 @@
 	readRequest(method: string, url: string, rawHeaders: readonly string[]): GatewayRequest;
 	/** Builds the headers of a request to a target: alternating names and values. */
 	buildDispatchHeaders(request: GatewayRequest, details: DispatchDetails): string[];
+	/** Builds the headers of a request to another instance, which reads them as a caller's. */
+	buildRelayedHeaders(request: GatewayRequest, details: RelayDetails): string[];
 	readResponse(status: number, headers: ReadonlyMap<string, string>): TargetResponseInfo;
 	/** Whether a header of a target's response is forwarded to the caller. */
 	isForwardedToCaller(name: string): boolean;
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -36,6 +36,8 @@
 	readonly acceptsCompressed?: boolean;
 	/** Whether callers may be directed to this instance. */
 	readonly isServing: boolean;
+	/** Whether this instance reaches targets itself; undefined from instances of an older version, which do not tell. */
+	readonly hasTargetPath?: boolean;
 	readonly configurationVersion: number;
 	readonly targetsRevision: number;
 	/** Era of the store to which the revision belongs; undefined from instances of an older version. */
--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -63,6 +63,16 @@
 			.map(({ state }) => state);
 	}
 
+	/** Lists the peers that serve and reach targets themselves. */
+	public listServingWithPath(nowMs: number): readonly PeerState[] {
+		return this.listServing(nowMs).filter(({ hasTargetPath }) => hasTargetPath !== false);
+	}
+
+	/** Finds the state of the peer with the given name; undefined if it is not known. */
+	public find(name: string): PeerState | undefined {
+		return this.peers.get(name)?.state;
+	}
+
 	/** Returns the number of instances that share the common limits, including this one. */
 	public countInstances(nowMs: number): number {
 		const count = this.peers.size + 1;
--- a/packages/gateway/src/common/targetHealth.ts
+++ b/packages/gateway/src/common/targetHealth.ts
@@ -49,6 +49,13 @@
 		}
 	}
 
+	/** Forgets all failures, since they were not the target's. */
+	public reset(): void {
+		this.consecutiveFailures = 0;
+		this.suspendedUntilMs = -Infinity;
+		this.averageFailureRate = 0;
+	}
+
 	/** Whether the target fails so often that a failure says little about the request. */
 	public get hasFrequentFailures(): boolean {
 		return this.averageFailureRate > FREQUENT_FAILURE_RATE;
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -42,7 +42,9 @@
 	| 'overflow'
 	| 'leastLoaded'
 	/** No healthy target was left; an unhealthy one may have recovered. */
-	| 'lastResort';
+	| 'lastResort'
+	/** Another instance sends the request to a target, since this one reaches none. */
+	| 'relay';
 
 export interface Placement {
 	readonly target: TargetState;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export type { StoreRestore } from './common/storeEraTracker.js';
 export type { StorePosition } from './common/storePosition.js';
 export type { FleetInstance } from './common/peerState.js';
+export { RELAY_HEADERS } from './common/relayHeaders.js';
 export type { TargetRecord } from './common/targetRecord.js';
 export type { ListedTargets } from './common/targetView.js';
 export type { Gateway, GatewayDependencies, GatewaySettings } from './node/gateway.js';
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -1,6 +1,7 @@
 /** Handles a target's response to one attempt: relays it, buffers it until it is complete, or discards it. */
 import { EventScanner } from '../common/eventScanner.js';
 import type { TargetResponseInfo } from '../common/gatewayRequest.js';
+import { isNotExecutedStatus } from '../common/gatewayRequest.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import type { CallerResponse } from './callerResponse.js';
 import type { Call, CallListener } from './targetClient.js';
@@ -35,6 +36,8 @@
 			readonly failure: AttemptFailure;
 			readonly mayHaveRun: boolean;
 			readonly detail: string;
+			/** Time in seconds, unparsed, after which a rejected request may come again; undefined if none is stated. */
+			readonly retryAfter?: string | undefined;
 	  };
 
 export interface AttemptResponseOptions {
@@ -54,12 +57,12 @@
 
 type BodyMode = 'head' | 'buffer' | 'events' | 'relay' | 'discard';
 
-const REJECTED: AttemptResult = {
+const REJECTED = {
 	kind: 'failed',
 	failure: 'rejected',
 	mayHaveRun: false,
 	detail: 'turned down',
-};
+} as const satisfies AttemptResult;
 const OTHER_TARGET: AttemptResult = {
 	kind: 'failed',
 	failure: 'otherTarget',
@@ -91,7 +94,7 @@
 	public onHead(head: ResponseHead, facts: TargetResponseInfo): void {
 		this.head = head;
 		if (facts.isMisdirected || facts.isNotRun) {
-			this.dropBody(facts.isMisdirected ? OTHER_TARGET : REJECTED);
+			this.dropBody(facts.isMisdirected ? OTHER_TARGET : { ...REJECTED, retryAfter: facts.retryAfter });
 			return;
 		}
 		const isSuccess = head.status >= 200 && head.status < 300;
@@ -261,11 +264,6 @@
 	return head.headers.get('content-type')?.startsWith('text/event-stream') ?? false;
 }
 
-/** To a caller these statuses mean that the request did not run, which the target did not state. */
-function isNotExecutedStatus(status: number): boolean {
-	return status === 408 || status === 421 || status === 429 || status === 503;
-}
-
 function makeMalformedResult(detail: string): AttemptResult {
 	return { kind: 'failed', failure: 'malformed', mayHaveRun: true, detail };
 }
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -8,6 +8,7 @@
 import { DEFAULT_CALLER_LIMITS } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest } from '../common/gatewayRequest.js';
 import { listSharedPartKeys } from '../common/promptChain.js';
+import type { RelayedRequest } from '../common/relayHeaders.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { CallerResponse } from './callerResponse.js';
 import { Exchange } from './exchange.js';
@@ -33,6 +34,8 @@
 	readonly message: IncomingMessage;
 	readonly callerResponse: CallerResponse;
 	readonly receivedAtMs: number;
+	readonly apiKey: string | undefined;
+	readonly relayed: RelayedRequest | undefined;
 }
 
 export class CallerServer implements Disposable {
@@ -103,7 +106,12 @@
 		this.server.closeAllConnections();
 	}
 
-	private handle(message: IncomingMessage, response: ServerResponse): void {
+	/** Handles a request that another instance relays to this one. */
+	public handleRelayed(message: IncomingMessage, response: ServerResponse, relayed: RelayedRequest): void {
+		this.handle(message, response, relayed);
+	}
+
+	private handle(message: IncomingMessage, response: ServerResponse, relayed?: RelayedRequest): void {
 		const receivedAtMs = performance.now();
 		this.pendingRequests += 1;
 		response.once('close', () => {
@@ -116,7 +124,8 @@
 			(name) => codec.isForwardedToCaller(name),
 			() => this.isDraining,
 		);
-		const received: ReceivedRequest = { request, message, callerResponse, receivedAtMs };
+		const apiKey = codec.readApiKey(message.headers);
+		const received: ReceivedRequest = { request, message, callerResponse, receivedAtMs, apiKey, relayed };
 		const snapshot = this.options.readSnapshot();
 		if (this.isRefusing || snapshot === undefined) {
 			const unavailableReason = this.options.isStoreUnreachable() ? 'storeLost' : 'noConfiguration';
@@ -132,7 +141,7 @@
 			return;
 		}
 		const [path = ''] = request.url.split('?', 1);
-		const found = snapshot.routes.find(message.headers.host ?? '', path, codec.readApiKey(message.headers));
+		const found = snapshot.routes.find(message.headers.host ?? '', path, apiKey);
 		switch (found.kind) {
 			case 'noRoute':
 			case 'unknownKey':
@@ -151,7 +160,7 @@
 		customer: Customer | undefined,
 		configurationVersion: number,
 	): void {
-		const { message, request, callerResponse, receivedAtMs } = received;
+		const { message, request, callerResponse, receivedAtMs, apiKey, relayed } = received;
 		const parts: Buffer[] = [];
 		let bytes = 0;
 		let exchange: Exchange | undefined;
@@ -176,7 +185,17 @@
 				fingerprint: computeFingerprint(customer?.name, request, body),
 				promptParts: listSharedPartKeys(request.prompt),
 			};
-			const input = { request, route, customer, body, traits, receivedAtMs, configurationVersion };
+			const input = {
+				request,
+				route,
+				customer,
+				body,
+				traits,
+				receivedAtMs,
+				apiKey,
+				relayed,
+				configurationVersion,
+			};
 			const started = new Exchange(this.options.exchange, input, callerResponse, () => {
 				this.exchanges.delete(started);
 			});
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -6,12 +6,16 @@
 import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { computeReturnDelay } from '../common/returnDelay.js';
+import { buildRelayHeaders } from '../common/relayHeaders.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import { pickService } from '../common/routeTable.js';
+import { parseBackOff } from '../common/targetBackOff.js';
+import type { TargetState } from '../common/targetState.js';
 import type { Placement } from '../common/targetTable.js';
 import type { AttemptFailure, AttemptResult } from './attemptResponse.js';
 import { AttemptResponse } from './attemptResponse.js';
 import type { CallerResponse } from './callerResponse.js';
+import type { TargetRun } from './crashTracker.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
 import { ExchangeReport } from './exchangeReport.js';
 import { RunningAttempt } from './runningAttempt.js';
@@ -20,6 +24,10 @@
 const MIN_ATTEMPT_MS = 30;
 /** Least urgent priority that targets accept. */
 const LEAST_URGENT_PRIORITY = 9;
+/** Limit of the instances to which one request is relayed, one after the other. */
+const MAX_RELAYS = 3;
+/** Further time in which an instance to which a request is relayed may send nothing, since it tries targets itself. */
+const RELAY_MARGIN_MS = 1000;
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
 const MIN_PREFILL_TOKENS_PER_MS = 10;
 
@@ -37,6 +45,11 @@
 	private hasForwardedEvents = false;
 	/** A target's 5xx response, which the caller gets if no further attempt succeeds. */
 	private fallback: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
+	/** Whether a target could not be reached, so that another instance may serve the request. */
+	private hasUnreachableTargets = false;
+	/** Whether the stream goes on through another instance, which knows its version. */
+	private isRelayedStream = false;
+	private relays = 0;
 	private isEnded = false;
 
 	/** @param onEnded called once, when the request has ended */
@@ -52,6 +65,9 @@
 		this.history = new AttemptHistory(route.maxAttempts);
 		this.prompt = route.hasAffinity ? buildPromptChain(request.prompt) : [];
 		this.lastEventId = request.lastEventId;
+		for (const target of input.relayed?.usedTargets ?? []) {
+			this.history.recordEarlierRun(target);
+		}
 		const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
 		this.deadlineAtMs = receivedAtMs + limitMs;
 		this.timer = setTimeout(
@@ -72,7 +88,9 @@
 
 	private startAttempts(): void {
 		const { crashes, countRequest } = this.parts;
-		countRequest(this.service);
+		if (this.input.relayed === undefined) {
+			countRequest(this.service);
+		}
 		const risk = crashes.check(this.input.traits, performance.now());
 		switch (risk.kind) {
 			case 'none':
@@ -154,7 +172,9 @@
 	}
 
 	private sendNext(): void {
-		const placement = this.choosePlacement(this.history.excluded);
+		const { excluded } = this.history;
+		const placement =
+			this.choosePlacement(excluded) ?? (this.hasUnreachableTargets ? this.chooseRelay(excluded) : undefined);
 		if (placement === undefined) {
 			const isVersionGone =
 				this.version !== undefined && !this.parts.targets.hasVersion(this.service, this.version);
@@ -182,6 +202,12 @@
 
 	private choosePlacement(excluded: ReadonlySet<string>): Placement | undefined {
 		const { objectiveMs } = this.input.route;
+		if (this.isRelayedStream || this.parts.hasLostPath()) {
+			const relay = this.chooseRelay(excluded);
+			if (relay !== undefined || this.isRelayedStream) {
+				return relay;
+			}
+		}
 		return this.parts.targets.choose(
 			{
 				service: this.service,
@@ -196,10 +222,21 @@
 		);
 	}
 
+	/** Chooses another instance for the request, which must not come from one itself. */
+	private chooseRelay(excluded: ReadonlySet<string>): Placement | undefined {
+		if (this.input.relayed !== undefined || this.relays >= MAX_RELAYS) {
+			return undefined;
+		}
+		const target = this.parts.choosePeer(excluded);
+		return target === undefined
+			? undefined
+			: { target, reason: 'relay', meanLoad: 0, cachedTokens: 0, cacheSource: undefined };
+	}
+
 	private send(placement: Placement): boolean {
-		const { request, route, customer, body, traits } = this.input;
+		const { request, route, body } = this.input;
 		const { target } = placement;
-		const { record } = target;
+		const isRelayed = placement.reason === 'relay';
 		const nowMs = performance.now();
 		const isResumedStream = this.hasForwardedEvents;
 		const response = new AttemptResponse({
@@ -211,13 +248,13 @@
 				this.handleRequestWriting();
 			},
 			onEvent: (id) => {
-				this.parts.crashes.recordAnswering(run, performance.now());
+				this.recordAnswering(attempt);
 				this.recordOrigin(attempt);
 				this.hasForwardedEvents = true;
 				this.lastEventId = id ?? this.lastEventId;
 			},
 			onResponseStarted: () => {
-				this.parts.crashes.recordAnswering(run, performance.now());
+				this.recordAnswering(attempt);
 				this.report.recordFirstByte();
 				attempt.releasePrefillTokens();
 			},
@@ -225,52 +262,85 @@
 				this.handleResult(result);
 			},
 		});
-		const incarnation = { instance: record.id, incarnation: String(record.startedAtMs) };
-		const run = this.parts.crashes.start(traits, incarnation, nowMs);
-		const prefillTokens = Math.max(0, countTokens(this.prompt) - placement.cachedTokens);
+		const prefillTokens = isRelayed ? 0 : Math.max(0, countTokens(this.prompt) - placement.cachedTokens);
+		const run = isRelayed ? undefined : this.startRun(target, nowMs);
 		const attempt = new RunningAttempt(target, response, run, prefillTokens);
 		this.attempt = attempt;
+		this.relays += isRelayed ? 1 : 0;
 		this.report.recordPlacement(placement);
-		target.recordRequestSent(nowMs, countTokens(request.prompt) / MIN_PREFILL_TOKENS_PER_MS);
-		const call = this.parts.client.send(
-			target,
-			request,
-			body,
-			{
-				target: record.id,
-				remainingMs: Math.max(1, Math.floor(this.deadlineAtMs - nowMs)),
-				customer: customer?.name,
-				priority: this.priority,
-				cacheSourceAddress: placement.cacheSource?.record.address,
-				resumeAfterEventId: isResumedStream ? this.lastEventId : request.lastEventId,
-			},
-			isIdempotent(route),
-			response,
-		);
+		const prefillTimeMs = countTokens(request.prompt) / MIN_PREFILL_TOKENS_PER_MS;
+		target.recordRequestSent(nowMs, prefillTimeMs + (isRelayed ? RELAY_MARGIN_MS : 0));
+		const headers = isRelayed ? this.buildRelayHeaders(nowMs) : this.buildDispatchHeaders(placement, nowMs);
+		const outgoing = { request, headers, body, isRepeatable: isIdempotent(route), isRelayed };
+		const call = this.parts.client.send(target, outgoing, response);
 		if (call === undefined) {
 			this.closeAttempt('failed');
 			return false;
 		}
 		response.bind(call);
-		if (this.prompt.length > 0) {
+		if (this.prompt.length > 0 && !isRelayed) {
 			this.parts.recordPrompt(target, this.prompt);
 		}
 		return true;
 	}
 
+	private startRun({ record }: TargetState, nowMs: number): TargetRun {
+		const incarnation = { instance: record.id, incarnation: String(record.startedAtMs) };
+		return this.parts.crashes.start(this.input.traits, incarnation, nowMs);
+	}
+
+	private buildDispatchHeaders({ target, cacheSource }: Placement, nowMs: number): readonly string[] {
+		const { request, customer } = this.input;
+		return this.parts.codec.buildDispatchHeaders(request, {
+			target: target.record.id,
+			remainingMs: this.computeRemainingMs(nowMs),
+			customer: customer?.name,
+			priority: this.priority,
+			cacheSourceAddress: cacheSource?.record.address,
+			resumeAfterEventId: this.resumeAfterEventId,
+		});
+	}
+
+	private buildRelayHeaders(nowMs: number): readonly string[] {
+		const { request, apiKey } = this.input;
+		const headers = this.parts.codec.buildRelayedHeaders(request, {
+			remainingMs: this.computeRemainingMs(nowMs),
+			apiKey,
+			resumeAfterEventId: this.resumeAfterEventId,
+			resumedAttemptId: this.hasForwardedEvents ? request.attemptId : undefined,
+		});
+		return [...headers, ...buildRelayHeaders(this.parts.self, this.history.usedTargets)];
+	}
+
+	private computeRemainingMs(nowMs: number): number {
+		return Math.max(1, Math.floor(this.deadlineAtMs - nowMs));
+	}
+
+	private get resumeAfterEventId(): string | undefined {
+		return this.hasForwardedEvents ? this.lastEventId : this.input.request.lastEventId;
+	}
+
+	private recordAnswering({ run }: RunningAttempt): void {
+		if (run !== undefined) {
+			this.parts.crashes.recordAnswering(run, performance.now());
+		}
+	}
+
 	/** Called before each event: the first one that the caller gets decides on the version of the stream. */
-	private recordOrigin({ version }: RunningAttempt): void {
-		if (!this.hasForwardedEvents) {
+	private recordOrigin({ version, isRelayed }: RunningAttempt): void {
+		this.isRelayedStream ||= isRelayed;
+		if (!this.hasForwardedEvents && !isRelayed) {
 			this.version = version;
 			this.parts.recordStreamOrigin(this.input.request.attemptId, { service: this.service, version });
 		}
 	}
 
 	private handleRequestWriting(): void {
-		const isFirstRunOnTarget = this.history.recordSend(this.attempt?.target.record.id);
-		if (this.attempt !== undefined) {
-			this.attempt.isSent = true;
-			this.attempt.isFirstRunOnTarget = isFirstRunOnTarget;
+		const { attempt } = this;
+		if (attempt !== undefined) {
+			const target = attempt.isRelayed ? undefined : attempt.target.record.id;
+			attempt.isFirstRunOnTarget = this.history.recordSend(target);
+			attempt.isSent = true;
 		}
 	}
 
@@ -282,7 +352,7 @@
 		switch (result.kind) {
 			case 'delivered':
 				attempt.target.health.recordResponse(false);
-				if (isSuccess(result.status)) {
+				if (isSuccess(result.status) && attempt.run !== undefined) {
 					this.parts.crashes.recordAnswered(attempt.run, performance.now());
 				}
 				this.closeAttempt('completed');
@@ -291,6 +361,12 @@
 			case 'failureAnswer':
 				attempt.target.health.recordResponse(true);
 				this.closeAttempt('failed');
+				if (attempt.isRelayed) {
+					// The other instance has made the further attempts.
+					this.fallback = { head: result.head, body: result.body };
+					this.endWithFailure('noTarget', `HTTP ${result.head.status}`);
+					return;
+				}
 				if (!attempt.target.health.hasFrequentFailures) {
 					this.history.recordFailureOnHealthyTarget();
 				}
@@ -302,20 +378,43 @@
 				return;
 			case 'failed':
 				this.recordFailure(attempt, result.failure);
-				if (result.failure === 'broken' && this.parts.crashes.isRepeatRisky(attempt.run, performance.now())) {
+				if (result.failure === 'broken' && this.isRepeatRisky(attempt)) {
 					this.history.stopSends();
 				}
 				this.history.addExcluded(attempt.target.record.id);
 				if (!result.mayHaveRun && attempt.isSent) {
 					this.history.recordNotRun(attempt.target.record.id, attempt.isFirstRunOnTarget);
 				}
+				if (attempt.isRelayed && (result.failure === 'rejected' || result.failure === 'malformed')) {
+					this.logFailure(result.failure, result.detail, result.mayHaveRun, 'passOn');
+					this.endRelayed(result);
+					return;
+				}
 				this.handleFailedAttempt(result.mayHaveRun, result.failure, result.detail);
 				return;
 		}
 	}
 
+	/** Passes on that the other instance could not have the request served. */
+	private endRelayed({ detail, retryAfter }: Extract<AttemptResult, { kind: 'failed' }>): void {
+		const backOff = parseBackOff(retryAfter);
+		if (this.history.runs > 0 || this.callerResponse.hasStarted || backOff.kind !== 'wait') {
+			this.endWithFailure('targetsBusy', detail);
+			return;
+		}
+		this.refuse('targetsBackingOff', detail, Math.round(backOff.waitMs));
+	}
+
+	private isRepeatRisky({ run }: RunningAttempt): boolean {
+		return run !== undefined && this.parts.crashes.isRepeatRisky(run, performance.now());
+	}
+
 	private recordFailure(attempt: RunningAttempt, failure: AttemptFailure): void {
 		const { health } = attempt.target;
+		if (!attempt.isRelayed && isPathFailure(failure)) {
+			this.hasUnreachableTargets = true;
+			this.parts.recordPathFailure();
+		}
 		switch (failure) {
 			case 'unreachable':
 			case 'silent':
@@ -326,7 +425,9 @@
 			case 'broken':
 				health.recordConnectionFailure(performance.now(), false);
 				this.closeAttempt('broken');
-				this.parts.onConnectionBroken(attempt.target, attempt.run);
+				if (attempt.run !== undefined) {
+					this.parts.onConnectionBroken(attempt.target, attempt.run);
+				}
 				return;
 			case 'malformed':
 				health.recordResponse(true);
@@ -438,7 +539,9 @@
 		if (attempt !== undefined) {
 			this.attempt = undefined;
 			attempt.end();
-			this.parts.crashes.end(attempt.run, end, performance.now());
+			if (attempt.run !== undefined) {
+				this.parts.crashes.end(attempt.run, end, performance.now());
+			}
 		}
 	}
 
@@ -453,6 +556,20 @@
 	}
 }
 
+/** Whether a failure may be that of the path to the target. */
+function isPathFailure(failure: AttemptFailure): boolean {
+	switch (failure) {
+		case 'unreachable':
+		case 'silent':
+		case 'broken':
+			return true;
+		case 'rejected':
+		case 'otherTarget':
+		case 'malformed':
+			return false;
+	}
+}
+
 function isSuccess(status: number): boolean {
 	return status >= 200 && status < 300;
 }
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -2,7 +2,9 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { Customer, Route } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
+import type { FleetInstance } from '../common/peerState.js';
 import type { PromptChain } from '../common/promptChain.js';
+import type { RelayedRequest } from '../common/relayHeaders.js';
 import type { StreamOrigin } from '../common/streamOrigins.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
@@ -26,6 +28,14 @@
 	readonly onConnectionBroken: (target: TargetState, run: TargetRun) => void;
 	/** Whether the targets of a service can fetch cached prompt prefixes from each other. */
 	readonly hasCacheTransfer: (service: string) => boolean;
+	/** Whether this instance reaches no target itself. */
+	readonly hasLostPath: () => boolean;
+	/** Records that a target could not be reached or stopped sending. */
+	readonly recordPathFailure: () => void;
+	/** Chooses an instance that reaches targets, to relay a request to it; undefined if there is none. */
+	readonly choosePeer: (excluded: ReadonlySet<string>) => TargetState | undefined;
+	/** This instance. */
+	readonly self: FleetInstance;
 	/** Records that a prompt was sent to a target, which caches it. */
 	readonly recordPrompt: (target: TargetState, prompt: PromptChain) => void;
 	/** Finds what began the stream that a caller resumes. */
@@ -43,5 +53,9 @@
 	readonly body: Buffer;
 	readonly traits: RequestTraits;
 	readonly receivedAtMs: number;
+	/** The caller's key, which another instance needs if the request is relayed to it. */
+	readonly apiKey: string | undefined;
+	/** What the instance that relays the request tells of it; undefined if it comes from a caller. */
+	readonly relayed: RelayedRequest | undefined;
 	readonly configurationVersion: number;
 }
--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -66,7 +66,7 @@
 		lastEventId: string | undefined,
 		fields: Readonly<Record<string, string | number | undefined>>,
 	): void {
-		const { request, route, customer, receivedAtMs, configurationVersion } = this.input;
+		const { request, route, customer, receivedAtMs, relayed, configurationVersion } = this.input;
 		const { log, metrics, readTargetsAge } = this.parts;
 		const nowMs = performance.now();
 		const firstMs = this.firstByteAtMs === undefined ? undefined : this.firstByteAtMs - receivedAtMs;
@@ -86,6 +86,7 @@
 			path: this.placements.join(' '),
 			versions: this.versions.join(' '),
 			resumes: request.resumedAttemptId,
+			relayedBy: relayed?.instance,
 			runs: history.runs,
 			firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
 			totalMs: Math.round(nowMs - receivedAtMs),
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -1,10 +1,12 @@
 /** Membership of this instance in the fleet: discovers the other instances and exchanges state with them by gossip. */
 import type { Disposable } from '@papayawell/core';
-import { sampleAddresses } from '../common/addresses.js';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { sampleAddresses, splitAddress } from '../common/addresses.js';
 import type { EventLog } from '../common/eventLog.js';
 import { GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, GatewayState, PeerState } from '../common/peerState.js';
+import type { RelayedRequest } from '../common/relayHeaders.js';
 import { PeerTable } from '../common/peerTable.js';
 import { PeerTransport } from './peerTransport.js';
 
@@ -44,6 +46,12 @@
 	readonly onPeerStart: (instance: FleetInstance) => void;
 	/** Called with a message that a peer sent to this instance alone. */
 	readonly onMessage: (message: Buffer, controlAddress: string) => void;
+	/** Called with a request that a known peer relays to this instance. */
+	readonly onRelayedRequest: (
+		message: IncomingMessage,
+		response: ServerResponse,
+		relayed: RelayedRequest,
+	) => void;
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
 }
 
@@ -75,6 +83,13 @@
 			onMessage: (message, controlAddress) => {
 				parts.onMessage(message, controlAddress);
 			},
+			onRelayedRequest: (message, response, relayed) => {
+				const isKnown = this.isKnownPeer(relayed, message.socket.remoteAddress);
+				if (isKnown) {
+					parts.onRelayedRequest(message, response, relayed);
+				}
+				return isKnown;
+			},
 			documents: parts.documents,
 			onError: (detail) => {
 				this.logError('peerLinkError', detail);
@@ -141,6 +156,12 @@
 		this.transport.dispose();
 	}
 
+	/** Whether the name, the start and the address are those of one peer. */
+	private isKnownPeer({ instance, incarnation }: RelayedRequest, address: string | undefined): boolean {
+		const peer = this.peers.find(instance)?.instance;
+		return peer?.incarnation === incarnation && splitAddress(peer.controlAddress).host === address;
+	}
+
 	private listCompressedAddresses(): ReadonlySet<string> {
 		const peers = this.peers.listAll().filter(({ acceptsCompressed }) => acceptsCompressed === true);
 		return new Set(peers.map(({ instance }) => instance.controlAddress));
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -7,6 +7,7 @@
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance } from '../common/peerState.js';
+import { PeerRoutes } from '../common/peerRoutes.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
 import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
@@ -27,6 +28,7 @@
 import { Shutdown } from './shutdown.js';
 import { StreamOriginSync } from './streamOriginSync.js';
 import { TargetClient } from './targetClient.js';
+import { TargetPathMonitor } from './targetPathMonitor.js';
 import type { TargetChangeSource } from './targetListSync.js';
 import { TargetListSync } from './targetListSync.js';
 
@@ -91,6 +93,8 @@
 	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
 	private readonly streamOriginSync: StreamOriginSync;
+	private readonly pathMonitor: TargetPathMonitor;
+	private readonly peerRoutes: PeerRoutes;
 	private readonly client: TargetClient;
 	private readonly server: CallerServer;
 	private readonly membership: FleetMembership;
@@ -107,6 +111,7 @@
 		this.catchUp = new StartupCatchUp(performance.now(), settings.isFirstStart);
 		this.versionHistory = new VersionHistory(settings.isFirstStart);
 		this.targets = new TargetTable(settings.self.zone);
+		this.peerRoutes = new PeerRoutes(settings.self.zone);
 		this.retries = new RetryBudgets(settings.retries);
 		this.metrics = new GatewayMetrics(() => ({
 			configurationVersion: this.activeConfiguration.version,
@@ -124,6 +129,9 @@
 				this.metrics.countDecision('crossedAnswer');
 				log.write('decision', 'crossedAnswer', { id: attemptId, target });
 			},
+			onTargetContact: () => {
+				this.pathMonitor.recordContact();
+			},
 			onTargetLeaving: ({ record }) => {
 				this.targetListSync.recordLeaving(record);
 			},
@@ -135,6 +143,14 @@
 				log.write('decision', 'targetBackOff', { target: record.id, ...request });
 			},
 		});
+		this.pathMonitor = new TargetPathMonitor({
+			targets: this.targets,
+			log,
+			probe: (target) => this.client.probe(target),
+			onDidChange: () => {
+				this.membership.announce(performance.now());
+			},
+		});
 		this.requestLimitSync = new RequestLimitSync({
 			targets: this.targets,
 			log,
@@ -194,6 +210,12 @@
 				},
 				hasCacheTransfer: (service) =>
 					this.activeConfiguration.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
+				hasLostPath: () => this.pathMonitor.isLost,
+				recordPathFailure: () => {
+					this.pathMonitor.recordFailure();
+				},
+				choosePeer: (excluded) => this.choosePeer(excluded),
+				self: settings.self,
 				recordPrompt: (target, prompt) => {
 					this.promptCacheSync.recordPlacement(target, prompt, performance.now());
 				},
@@ -224,6 +246,9 @@
 			onMessage: (message, controlAddress) => {
 				this.streamOriginSync.handleMessage(message, controlAddress);
 			},
+			onRelayedRequest: (message, response, relayed) => {
+				this.server.handleRelayed(message, response, relayed);
+			},
 			documents: {
 				'/configuration': () => this.activeConfiguration.current?.encoded,
 				'/targets': () => this.peerExchange.encodeTargets(),
@@ -273,6 +298,7 @@
 			crashTracker: this.crashTracker,
 			requestLimitSync: this.requestLimitSync,
 			isServing: () => this.isServing(),
+			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
 		this.shutdown = new Shutdown({
 			server: this.server,
@@ -340,11 +366,16 @@
 	}
 
 	public listEntryAddresses(): readonly string[] {
-		const others = this.membership.peers
-			.listServing(performance.now())
-			.map(({ instance }) => instance.callersAddress);
+		const { peers } = this.membership;
+		const nowMs = performance.now();
+		const withPath = peers.listServingWithPath(nowMs);
+		const isUsed = this.isServing() && (!this.pathMonitor.isLost || withPath.length === 0);
+		// If no instance reaches the targets, all that serve are named: each may be the first whose path is back.
+		const isAnyPath = withPath.length > 0 || (isUsed && !this.pathMonitor.isLost);
+		const others = isAnyPath ? withPath : peers.listServing(nowMs);
+		const addresses = others.map(({ instance }) => instance.callersAddress);
 		const own = this.dependencies.settings.self.callersAddress;
-		return this.isServing() || others.length === 0 ? [own, ...others] : others;
+		return isUsed || addresses.length === 0 ? [own, ...addresses] : addresses;
 	}
 
 	public drain(): void {
@@ -359,6 +390,7 @@
 		const nowMs = performance.now();
 		this.membership.tick(nowMs);
 		this.targetListSync.tick(nowMs);
+		this.pathMonitor.tick(nowMs);
 		this.tickPromptCacheSync(nowMs);
 		this.server.moveOffUnresponsiveTargets(nowMs);
 		this.shutdown.tick(nowMs);
@@ -425,6 +457,12 @@
 		this.checkServing(performance.now());
 	}
 
+	private choosePeer(excluded: ReadonlySet<string>): TargetState | undefined {
+		const nowMs = performance.now();
+		const peers = this.membership.peers.listServingWithPath(nowMs).map(({ instance }) => instance);
+		return this.peerRoutes.choose(peers, excluded, nowMs);
+	}
+
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
 		return this.retries.tryAcquire(service, nowMs, this.membership.peers.countInstances(nowMs));
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -24,18 +24,20 @@
 	readonly crashTracker: CrashTracker;
 	readonly requestLimitSync: RequestLimitSync;
 	readonly isServing: () => boolean;
+	/** Whether this instance reaches targets itself. */
+	readonly hasTargetPath: () => boolean;
 }
 
 export class PeerExchange {
 	constructor(private readonly parts: PeerExchangeParts) {}
 
 	public describeSelf(): GatewayState {
-		const { activeConfiguration, crashTracker, isServing, promptCacheSync, requestLimitSync, view } =
-			this.parts;
+		const { activeConfiguration, crashTracker, promptCacheSync, requestLimitSync, view } = this.parts;
 		const nowMs = performance.now();
 		const { list } = view;
 		return {
-			isServing: isServing(),
+			isServing: this.parts.isServing(),
+			hasTargetPath: this.parts.hasTargetPath(),
 			configurationVersion: activeConfiguration.version,
 			targetsRevision: list?.revision ?? 0,
 			storeEra: list?.era ?? 0,
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -54,6 +54,7 @@
 		typeof state.configurationVersion === 'number' &&
 		typeof state.targetsRevision === 'number' &&
 		(state.storeEra === undefined || Number.isSafeInteger(state.storeEra)) &&
+		(state.hasTargetPath === undefined || typeof state.hasTargetPath === 'boolean') &&
 		isOptionalList(state.leaving, isTargetStart) &&
 		isOptionalList(state.removed, isTargetStart) &&
 		isOptionalList(state.promptDeaths, isPartDeathReport) &&
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -5,11 +5,13 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 import { createServer, get } from 'node:http';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Disposable } from '@papayawell/core';
 import { splitAddress } from '../common/addresses.js';
 import { GOSSIP_FAN_OUT } from '../common/gossipInterval.js';
 import type { PeerState } from '../common/peerState.js';
+import type { RelayedRequest } from '../common/relayHeaders.js';
+import { readRelayHeaders } from '../common/relayHeaders.js';
 import { encodeCompressed, decodePeerState, encodePeerState } from './peerStateCodec.js';
 import { listenAt } from './listenAt.js';
 
@@ -17,6 +19,9 @@
 const FETCH_TIMEOUT_MS = 800;
 /** Larger datagrams are not sent: they would be fragmented in transit. */
 const MAX_DATAGRAM_BYTES = 60_000;
+/** Limit of the header of a relayed request: that of callers, and what the instance that relays it adds. */
+const MAX_HEADER_BYTES = 65_536;
+const HTTP_MISDIRECTED_REQUEST = 421;
 /** First byte of a datagram that holds a message rather than a state; neither JSON nor a compressed state begins with it. */
 const MESSAGE_MARK = 2;
 
@@ -28,6 +33,12 @@
 	readonly onMessage: (message: Buffer, controlAddress: string) => void;
 	/** Documents that peers may fetch, by path. */
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
+	/** Handles a request that another instance relays; returns false if it does not come from a known one. */
+	readonly onRelayedRequest: (
+		message: IncomingMessage,
+		response: ServerResponse,
+		relayed: RelayedRequest,
+	) => boolean;
 	readonly onError: (detail: string) => void;
 }
 
@@ -48,7 +59,14 @@
 		this.socket.on('error', (error) => {
 			options.onError(error.message);
 		});
-		this.server = createServer((request, response) => {
+		this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (request, response) => {
+			const relayed = readRelayHeaders(request.headers);
+			if (relayed !== undefined) {
+				if (!options.onRelayedRequest(request, response, relayed)) {
+					response.writeHead(HTTP_MISDIRECTED_REQUEST).end();
+				}
+				return;
+			}
 			const document = options.documents[request.url ?? '']?.();
 			response.writeHead(document === undefined ? 404 : 200, { 'Content-Type': 'application/json' });
 			response.end(document);
--- a/packages/gateway/src/node/runningAttempt.ts
+++ b/packages/gateway/src/node/runningAttempt.ts
@@ -15,13 +15,19 @@
 	constructor(
 		public readonly target: TargetState,
 		public readonly response: AttemptResponse,
-		public readonly run: TargetRun,
+		/** Undefined if the attempt is relayed: the other instance tracks what its target runs. */
+		public readonly run: TargetRun | undefined,
 		private prefillTokens: number,
 	) {
 		this.version = target.record.version;
 		target.ownPrefillTokens += prefillTokens;
 	}
 
+	/** Whether another instance sends the request to a target. */
+	public get isRelayed(): boolean {
+		return this.run === undefined;
+	}
+
 	/** Called when the target has prefilled the prompt. */
 	public releasePrefillTokens(): void {
 		this.target.ownPrefillTokens -= this.prefillTokens;
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -1,17 +1,13 @@
 /** Sends requests to targets over pooled connections and records when targets send data. */
 import type { Disposable } from '@papayawell/core';
-import type {
-	TargetResponseInfo,
-	DispatchDetails,
-	GatewayRequest,
-	HeaderCodec,
-} from '../common/gatewayRequest.js';
+import type { TargetResponseInfo, GatewayRequest, HeaderCodec } from '../common/gatewayRequest.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import type { BackOffRequest } from '../common/targetBackOff.js';
 import { parseBackOff } from '../common/targetBackOff.js';
 import type { TargetState } from '../common/targetState.js';
 import { ConnectionPool } from './connectionPool.js';
 import type { ConnectionFailure, ConnectionListener, TargetConnection } from './targetConnection.js';
+import { isNotExecutedStatus } from '../common/gatewayRequest.js';
 import { fetchDocument } from './documentFetch.js';
 
 /**
@@ -34,6 +30,17 @@
 	onFailure(failure: ConnectionFailure, mayHaveRun: boolean, message: string): void;
 }
 
+/** A request as it is sent to a target or to another instance. */
+export interface OutgoingRequest {
+	readonly request: GatewayRequest;
+	/** Alternating names and values. */
+	readonly headers: readonly string[];
+	readonly body: Buffer;
+	readonly isRepeatable: boolean;
+	/** Whether another instance gets the request, and answers for a target. */
+	readonly isRelayed: boolean;
+}
+
 export interface Call {
 	cancel(): void;
 	pause(): void;
@@ -47,6 +54,8 @@
 	readonly onConnectionOpened: () => void;
 	/** Called when a response is dropped because it belongs to another request. */
 	readonly onCrossedResponse: (target: string, attemptId: string) => void;
+	/** Called when a target has sent something. */
+	readonly onTargetContact: () => void;
 	/** Called when a target announces in a response that it leaves. */
 	readonly onTargetLeaving: (target: TargetState) => void;
 	/**
@@ -64,23 +73,16 @@
 	constructor(private readonly options: TargetClientOptions) {}
 
 	/** Sends a request; undefined if the connection limit is reached. */
-	public send(
-		target: TargetState,
-		request: GatewayRequest,
-		body: Buffer,
-		details: DispatchDetails,
-		isRepeatable: boolean,
-		listener: CallListener,
-	): Call | undefined {
-		const { codec, getConnectionLimit } = this.options;
-		const limit = getConnectionLimit(target.record.service);
+	public send(target: TargetState, outgoing: OutgoingRequest, listener: CallListener): Call | undefined {
+		const { request, headers, body, isRepeatable, isRelayed } = outgoing;
+		const limit = isRelayed ? target.record.slots : this.options.getConnectionLimit(target.record.service);
 		const idleLimitMs = isRepeatable ? undefined : NON_REPEATABLE_IDLE_LIMIT_MS;
 		const connection = this.getPool(target).acquire(performance.now(), limit, idleLimitMs);
 		if (connection === undefined) {
 			return undefined;
 		}
-		const head = encodeHead(request, codec.buildDispatchHeaders(request, details), body.length);
-		const call = new TargetCall(connection, target, request, listener, this.options);
+		const head = encodeHead(request, headers, body.length);
+		const call = new TargetCall(connection, target, outgoing, listener, this.options);
 		call.send(body.length === 0 ? [head] : [head, body]);
 		return call;
 	}
@@ -170,13 +172,13 @@
 	constructor(
 		private readonly connection: TargetConnection,
 		private readonly target: TargetState,
-		private readonly request: GatewayRequest,
+		private readonly outgoing: OutgoingRequest,
 		private readonly listener: CallListener,
 		private readonly options: TargetClientOptions,
 	) {}
 
 	public send(bytes: readonly Buffer[]): void {
-		this.connection.send(this.request.method, bytes, () => this.handleRequestWriting(), this);
+		this.connection.send(this.outgoing.request.method, bytes, () => this.handleRequestWriting(), this);
 	}
 
 	public cancel(): void {
@@ -195,19 +197,24 @@
 	public onHead(head: ResponseHead): void {
 		const nowMs = performance.now();
 		this.target.recordActivity(nowMs);
-		const facts = this.options.codec.readResponse(head.status, head.headers);
+		const { request, isRelayed } = this.outgoing;
+		const info = this.options.codec.readResponse(head.status, head.headers);
+		const facts = isRelayed ? toRelayedInfo(head.status, info) : info;
 		if (facts.attemptId === undefined && this.connection.isReused) {
 			// It may be a second copy of an earlier answer, so nothing that it says is taken for this request.
 			this.cancel();
 			this.listener.onFailure('malformed', true, 'an answer without an id on a reused connection');
 			return;
 		}
-		this.isCrossed = facts.attemptId !== undefined && facts.attemptId !== this.request.attemptId;
+		this.isCrossed = facts.attemptId !== undefined && facts.attemptId !== request.attemptId;
 		if (this.isCrossed) {
-			this.options.onCrossedResponse(this.target.record.id, this.request.attemptId);
+			this.options.onCrossedResponse(this.target.record.id, request.attemptId);
 			return;
 		}
-		if (!facts.isMisdirected) {
+		if (!isRelayed) {
+			this.options.onTargetContact();
+		}
+		if (!facts.isMisdirected && !isRelayed) {
 			this.handleTargetState(head.status, facts, nowMs);
 		}
 		this.target.recordTimeToHead(nowMs - this.sentAtMs);
@@ -237,6 +244,9 @@
 
 	public onBody(chunk: Buffer): void {
 		this.target.recordActivity(performance.now());
+		if (!this.outgoing.isRelayed) {
+			this.options.onTargetContact();
+		}
 		if (!this.isCrossed) {
 			this.listener.onBody(chunk);
 			return;
@@ -274,6 +284,11 @@
 	}
 }
 
+/** An instance that refuses a request promises by the status that it has not run; only a target signs its answers. */
+function toRelayedInfo(status: number, info: TargetResponseInfo): TargetResponseInfo {
+	return { ...info, isNotRun: !info.isSigned && isNotExecutedStatus(status) };
+}
+
 function encodeHead(request: GatewayRequest, headers: readonly string[], bodyBytes: number): Buffer {
 	const lines = [`${request.method} ${request.url} HTTP/1.1`];
 	for (let index = 0; index + 1 < headers.length; index += 2) {
