--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -67,6 +67,13 @@
 	readonly isLeaving: boolean;
 	/** Requests a second, unparsed, that the target takes from the whole fleet; undefined if it names no limit. */
 	readonly requestLimit: string | undefined;
+	/**
+	 * Requests that the target may have to reject in a second for want of room before it fails, unparsed; undefined unless
+	 * it says that it is brittle.
+	 */
+	readonly brittleness: string | undefined;
+	/** Running requests, waiting requests and slots of the target, unparsed; undefined if it does not tell. */
+	readonly load: string | undefined;
 	/** Stated time in seconds, unparsed, in which the target wants no further request; undefined if it states none. */
 	readonly retryAfter: string | undefined;
 }
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -16,6 +16,8 @@
 	public readonly health = new TargetHealth();
 	public readonly prefixCache = new PrefixCacheIndex();
 	public readonly requestLimit = new TargetRequestLimit();
+	/** What the target last said of its brittleness; undefined if it is not brittle. */
+	public brittleness: string | undefined;
 	/** Requests of this instance in flight on the target. */
 	public ownRequests = 0;
 	/** Requests of the other instances in flight on the target, as last reported. */
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -38,6 +38,8 @@
 			readonly detail: string;
 			/** Time in seconds, unparsed, after which a rejected request may come again; undefined if none is stated. */
 			readonly retryAfter?: string | undefined;
+			/** Load that the target stated when it rejected the request; undefined if it stated none. */
+			readonly load?: string | undefined;
 	  };
 
 export interface AttemptResponseOptions {
@@ -94,7 +96,9 @@
 	public onHead(head: ResponseHead, facts: TargetResponseInfo): void {
 		this.head = head;
 		if (facts.isMisdirected || facts.isNotRun) {
-			this.dropBody(facts.isMisdirected ? OTHER_TARGET : { ...REJECTED, retryAfter: facts.retryAfter });
+			this.dropBody(
+				facts.isMisdirected ? OTHER_TARGET : { ...REJECTED, retryAfter: facts.retryAfter, load: facts.load },
+			);
 			return;
 		}
 		const isSuccess = head.status >= 200 && head.status < 300;
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -390,7 +390,7 @@
 					this.endRelayed(result);
 					return;
 				}
-				this.handleFailedAttempt(result.mayHaveRun, result.failure, result.detail);
+				this.handleFailedAttempt(result.mayHaveRun, result.failure, result.detail, result.load);
 				return;
 		}
 	}
@@ -444,12 +444,13 @@
 		mayHaveRun: boolean,
 		failure: AttemptFailure | 'failureAnswer',
 		detail: string,
+		load?: string,
 	): void {
 		const decision = this.decide(mayHaveRun);
 		const isFurtherAttempt = decision === 'retry' || decision === 'resume';
 		const hasRetryBudget =
 			!isFurtherAttempt || this.history.sends === 0 || this.parts.acquireRetry(this.service);
-		this.logFailure(failure, detail, mayHaveRun, hasRetryBudget ? decision : 'retryDenied');
+		this.logFailure(failure, detail, mayHaveRun, hasRetryBudget ? decision : 'retryDenied', load);
 		if (isFurtherAttempt && hasRetryBudget) {
 			this.sendNext();
 			return;
@@ -457,8 +458,15 @@
 		this.endWithFailure(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
 	}
 
-	private logFailure(failure: string, detail: string, mayHaveRun: boolean, decision: string): void {
-		this.report.logFailure({ failure, detail, mayHaveRun, decision }, this.history, this.lastEventId);
+	private logFailure(
+		failure: string,
+		detail: string,
+		mayHaveRun: boolean,
+		decision: string,
+		load?: string,
+	): void {
+		const report = { failure, detail, mayHaveRun, decision, load };
+		this.report.logFailure(report, this.history, this.lastEventId);
 	}
 
 	private decide(mayHaveRun: boolean): ReturnType<typeof decideAfterFailure> {
--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -9,6 +9,8 @@
 	readonly mayHaveRun: boolean;
 	/** Next action of the gateway, such as `retry` or `fail`. */
 	readonly decision: string;
+	/** Load that the target stated: running requests, waiting requests and slots. */
+	readonly load: string | undefined;
 }
 
 export class ExchangeReport {
@@ -36,7 +38,7 @@
 
 	/** @param lastEventId id of the last event that was sent to the caller */
 	public logFailure(report: FailedAttempt, history: AttemptHistory, lastEventId: string | undefined): void {
-		const { failure, detail, mayHaveRun, decision } = report;
+		const { failure, detail, mayHaveRun, decision, load } = report;
 		this.parts.metrics.countDecision(decision);
 		this.parts.log.write('decision', 'attemptFailed', {
 			id: this.input.request.attemptId,
@@ -48,6 +50,7 @@
 			sends: history.sends,
 			events: lastEventId,
 			decision,
+			load,
 			...(failure === 'broken' ? this.describeContent() : {}),
 		});
 	}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -138,6 +138,12 @@
 			onLimitStated: (target, text) => {
 				this.requestLimitSync.recordStatement(target, text, performance.now());
 			},
+			onBrittlenessStated: (target, text) => {
+				if (target.brittleness !== text) {
+					target.brittleness = text;
+					log.write('decision', 'targetBrittle', { target: target.record.id, rejectionsPerSecond: text });
+				}
+			},
 			onBackOffRequested: ({ record }, request) => {
 				this.metrics.countDecision('targetBackOff');
 				log.write('decision', 'targetBackOff', { target: record.id, ...request });
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -63,6 +63,11 @@
 	 * @param text undefined if it names no limit
 	 */
 	readonly onLimitStated: (target: TargetState, text: string | undefined) => void;
+	/**
+	 * Called when a target says in a response whether it is brittle.
+	 * @param text requests that it may have to reject in a second; undefined if it is not brittle
+	 */
+	readonly onBrittlenessStated: (target: TargetState, text: string | undefined) => void;
 	/** Called when a target that rejects a request states, validly or not, for how long it wants no further one. */
 	readonly onBackOffRequested: (target: TargetState, request: BackOffRequest) => void;
 }
@@ -223,12 +228,13 @@
 
 	/** Handles what the target says of itself. It applies to the start of the target that the request was sent to. */
 	private handleTargetState(status: number, facts: TargetResponseInfo, nowMs: number): void {
-		const { onBackOffRequested, onLimitStated, onTargetLeaving } = this.options;
+		const { onBackOffRequested, onBrittlenessStated, onLimitStated, onTargetLeaving } = this.options;
 		if (facts.isLeaving) {
 			onTargetLeaving(this.target);
 		}
 		if (facts.isSigned || facts.isNotRun) {
 			onLimitStated(this.target, facts.requestLimit);
+			onBrittlenessStated(this.target, facts.brittleness);
 		}
 		if (status !== HTTP_SERVICE_UNAVAILABLE) {
 			return;
