Keep requests off brittle targets that have no room

Cause: nothing kept a request from a target that was known to be full, and each rejected request went on to up to five more targets, all full; what one instance learned by a rejection no other knew. Class: a bound on the whole fleet that each instance meets by itself, and a reaction that comes after the send. Change: each instance keeps to an equal part of the room that a brittle target is believed to have, which grows slowly and shrinks at each rejection that any instance tells of; without room callers are refused at once. Why it works: the parts add up to the room whatever instances know of one another's loads, and the growth costs fewer rejections than the target bears.

--- a/packages/gateway/src/common/streamOriginMessage.ts
+++ b/packages/gateway/src/common/peerMessage.ts
@@ -1,8 +1,21 @@
-/** Messages by which the instances tell and ask one another of the origins of streams. Their fields go over the wire. */
+/** Messages that an instance sends to another beside its state, once each. Their fields go over the wire. */
 import type { StreamOriginReport } from './streamOrigins.js';
 import { isStreamOriginReport } from './streamOrigins.js';
 import type { VersionOpinion } from './versionHistory.js';
 
+/** Tells that a brittle target rejected a request for want of room. */
+export interface RejectionMessage {
+	readonly kind: 'rejection';
+	readonly target: string;
+	/** Start of the target's process in epoch ms. */
+	readonly startedAtMs: number;
+	/** Requests that the target may have to reject in a second. */
+	readonly rejectionsPerSecond: number;
+}
+
+export type PeerMessage = StreamOriginMessage | RejectionMessage;
+
+/** Messages by which instances tell and ask one another of the origins of streams. */
 export type StreamOriginMessage =
 	| { readonly kind: 'origins'; readonly origins: readonly StreamOriginReport[] }
 	| {
@@ -19,12 +32,12 @@
 			readonly opinion: VersionOpinion;
 	  };
 
-export function encodeStreamOriginMessage(message: StreamOriginMessage): Buffer {
+export function encodePeerMessage(message: PeerMessage): Buffer {
 	return Buffer.from(JSON.stringify(message));
 }
 
 /** Returns undefined if the bytes hold no valid message. */
-export function decodeStreamOriginMessage(bytes: Buffer): StreamOriginMessage | undefined {
+export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
 	let value: unknown;
 	try {
 		value = JSON.parse(bytes.toString('utf8'));
@@ -32,10 +45,10 @@
 		// The caller logs the failure.
 		return undefined;
 	}
-	return isStreamOriginMessage(value) ? value : undefined;
+	return isPeerMessage(value) ? value : undefined;
 }
 
-function isStreamOriginMessage(value: unknown): value is StreamOriginMessage {
+function isPeerMessage(value: unknown): value is PeerMessage {
 	const message = (value ?? {}) as Readonly<Record<string, unknown>>;
 	switch (message.kind) {
 		case 'origins':
@@ -52,6 +65,12 @@
 				(message.origin === null || isStreamOriginReport(message.origin)) &&
 				isVersionOpinion(message.opinion)
 			);
+		case 'rejection':
+			return (
+				typeof message.target === 'string' &&
+				Number.isSafeInteger(message.startedAtMs) &&
+				typeof message.rejectionsPerSecond === 'number'
+			);
 		default:
 			return false;
 	}
--- /dev/null
+++ b/packages/gateway/src/common/targetBrittleness.ts
@@ -0,0 +1,130 @@
+/**
+ * Keeps requests off a target that says that it is brittle: it fails if it has to reject more requests in a second, from
+ * the whole fleet, than it names. Each instance keeps to an equal part of the room that the target is believed to have.
+ * The room grows slowly while it limits requests, and shrinks at each rejection, of which all instances hear.
+ */
+
+/** Part of the rejections that the target bears which the growth of its room may cost. */
+const BUDGET_SHARE = 0.3;
+/** Rejections that it costs to find out that the room has grown too far. */
+const REJECTIONS_PER_CYCLE = 2;
+const MIN_GROWTH_PAUSE_MS = 500;
+/** What is left of the room after a rejection. */
+const DECREASE_FACTOR = 0.8;
+/** Rejections within this time have the same cause. */
+const REJECTION_CLUSTER_MS = 100;
+/** While it limits requests, the room grows by this part of the slots at these intervals. */
+const GROWTH_SHARE = 1 / 16;
+const GROWTH_INTERVAL_MS = 250;
+/** Shortest time in which each instance comes in turn for the fraction of a request in its part of the room. */
+const MIN_ROTATION_MS = 4000;
+/** The same in times of a request on the target, since those of an instance whose turn is over still use room. */
+const ROTATION_RESIDENCES = 20;
+/** Time of a request on the target, until one is known. */
+const DEFAULT_RESIDENCE_MS = 1000;
+/** Weight of the latest request in the moving average of the time on the target. */
+const RESIDENCE_WEIGHT = 0.1;
+/** When a request may find room at a target that is full. */
+const FULL_DELAY_MS = 150;
+
+export type BrittlenessStatement =
+	| { readonly kind: 'none' }
+	| { readonly kind: 'brittle'; readonly rejectionsPerSecond: number }
+	| { readonly kind: 'invalid'; readonly text: string };
+
+/** @param text number of requests that the target may have to reject in a second; undefined if it is not brittle */
+export function parseBrittleness(text: string | undefined): BrittlenessStatement {
+	if (text === undefined) {
+		return { kind: 'none' };
+	}
+	const trimmed = text.trim();
+	return /^\d{1,9}(?:\.\d{1,9})?$/.test(trimmed)
+		? { kind: 'brittle', rejectionsPerSecond: Number(trimmed) }
+		: { kind: 'invalid', text };
+}
+
+export class TargetBrittleness {
+	/** Number of instances that share the target's room. */
+	public instances = 1;
+	/** Whether this instance hears of the rejections of nearly all others; without them the room must not grow. */
+	public hearsOthers = true;
+	private bearable: number | undefined;
+	/** Requests for which the target is believed to have room. */
+	private room: number;
+	private nextGrowthMs = -Infinity;
+	private decreasedAtMs = -Infinity;
+	private fullUntilMs = -Infinity;
+	private averageResidenceMs: number | undefined;
+	private turnedAtMs: number | undefined;
+
+	/** @param turn random number in [0, 1), which determines when it is the turn of this instance */
+	constructor(
+		private readonly slots: number,
+		private turn: number,
+	) {
+		this.room = slots;
+	}
+
+	/** Requests that the target may have to reject in a second; undefined if it is not brittle. */
+	public get rejectionsPerSecond(): number | undefined {
+		return this.bearable;
+	}
+
+	/** Records what the target says; undefined if it is not brittle. Returns whether that is new. */
+	public state(rejectionsPerSecond: number | undefined): boolean {
+		const isNew = this.bearable !== rejectionsPerSecond;
+		if (isNew && this.bearable === undefined) {
+			this.room = this.slots;
+		}
+		this.bearable = rejectionsPerSecond;
+		return isNew;
+	}
+
+	/** Records that the target rejected a request, of this instance or of another. */
+	public recordRejection(nowMs: number): void {
+		if (nowMs - this.decreasedAtMs > REJECTION_CLUSTER_MS) {
+			this.decreasedAtMs = nowMs;
+			this.room = Math.max(1, DECREASE_FACTOR * this.room);
+		}
+		this.nextGrowthMs = nowMs + this.computeGrowthPause();
+		// Until as many requests have ended as the room has shrunk by, those that fill it are sent already.
+		this.fullUntilMs = nowMs + (1 - DECREASE_FACTOR) * this.residenceMs;
+	}
+
+	/** Records for how long the target had a request that it answered. */
+	public recordEnd(residenceMs: number): void {
+		const averageMs = this.averageResidenceMs ?? residenceMs;
+		this.averageResidenceMs = averageMs + RESIDENCE_WEIGHT * (residenceMs - averageMs);
+	}
+
+	/**
+	 * Returns the time until the target may have room for a request of this instance, in ms; 0 if it has.
+	 * @param ownRequests requests of this instance in flight on the target
+	 */
+	public computeDelay(ownRequests: number, nowMs: number): number {
+		if (this.bearable === undefined || this.hasRoom(ownRequests, nowMs)) {
+			return 0;
+		}
+		if (this.hearsOthers && nowMs >= this.nextGrowthMs) {
+			this.room += Math.max(1, GROWTH_SHARE * this.slots);
+			this.nextGrowthMs = nowMs + GROWTH_INTERVAL_MS;
+		}
+		return FULL_DELAY_MS;
+	}
+
+	private hasRoom(ownRequests: number, nowMs: number): boolean {
+		const rotationMs = Math.max(MIN_ROTATION_MS, ROTATION_RESIDENCES * this.residenceMs);
+		this.turn = (this.turn + Math.max(0, nowMs - (this.turnedAtMs ?? nowMs)) / rotationMs) % 1;
+		this.turnedAtMs = nowMs;
+		return nowMs >= this.fullUntilMs && ownRequests + 1 <= Math.floor(this.room / this.instances + this.turn);
+	}
+
+	private get residenceMs(): number {
+		return this.averageResidenceMs ?? DEFAULT_RESIDENCE_MS;
+	}
+
+	private computeGrowthPause(): number {
+		const budget = BUDGET_SHARE * Math.max(1, this.bearable ?? 1);
+		return Math.max(MIN_GROWTH_PAUSE_MS, (REJECTIONS_PER_CYCLE / budget) * 1000);
+	}
+}
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -5,6 +5,7 @@
 import { hashTextTo32 } from '@papayawell/core';
 import { PrefixCacheIndex } from './prefixCacheIndex.js';
 import { UNRESPONSIVE_AFTER_MS, TargetHealth } from './targetHealth.js';
+import { TargetBrittleness } from './targetBrittleness.js';
 import type { TargetRecord } from './targetRecord.js';
 import { TargetRequestLimit } from './targetRequestLimit.js';
 
@@ -16,8 +17,9 @@
 	public readonly health = new TargetHealth();
 	public readonly prefixCache = new PrefixCacheIndex();
 	public readonly requestLimit = new TargetRequestLimit();
-	/** What the target last said of its brittleness; undefined if it is not brittle. */
-	public brittleness: string | undefined;
+	public readonly brittleness: TargetBrittleness;
+	/** Whether the target has said something of its brittleness that cannot be read, so that this is logged once. */
+	public hasInvalidBrittleness = false;
 	/** Requests of this instance in flight on the target. */
 	public ownRequests = 0;
 	/** Requests of the other instances in flight on the target, as last reported. */
@@ -39,6 +41,7 @@
 
 	constructor(public record: TargetRecord) {
 		this.nameHash = hashTextTo32(record.id);
+		this.brittleness = new TargetBrittleness(record.slots, Math.random());
 	}
 
 	public get load(): number {
@@ -67,11 +70,17 @@
 	}
 
 	/**
-	 * Returns the time for which the target wants no request of this instance, in ms: until its back-off is over, and its
-	 * limit allows for a request. 0 if it takes requests, infinity if that may change at any time or never.
+	 * Returns the time for which the target wants no request of this instance, in ms: until its back-off is over, its limit
+	 * allows for a request, and it may have room if it is brittle. 0 if it takes requests, infinity if that may change at
+	 * any time or never.
 	 */
 	public computePause(nowMs: number): number {
-		return Math.max(0, this.backOffUntilMs - nowMs, this.requestLimit.computeDelay(nowMs));
+		return Math.max(
+			0,
+			this.backOffUntilMs - nowMs,
+			this.requestLimit.computeDelay(nowMs),
+			this.brittleness.computeDelay(this.ownRequests, nowMs),
+		);
 	}
 
 	public recordActivity(nowMs: number): void {
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -81,7 +81,9 @@
 			if (known?.record.startedAtMs === record.startedAtMs) {
 				known.record = record;
 			} else {
-				this.states.set(record.id, new TargetState(record));
+				const state = new TargetState(record);
+				state.brittleness.state(this.findBrittleness(record.service));
+				this.states.set(record.id, state);
 			}
 		}
 		this.byService.clear();
@@ -153,6 +155,13 @@
 		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
 	}
 
+	/** A target that starts is as brittle as the others of its service until it says something else. */
+	private findBrittleness(service: string): number | undefined {
+		const states = this.byService.get(service) ?? [];
+		return states.find(({ brittleness }) => brittleness.rejectionsPerSecond !== undefined)?.brittleness
+			.rejectionsPerSecond;
+	}
+
 	private listStaying(service: string, version: string | undefined): readonly TargetState[] {
 		return (this.byService.get(service) ?? []).filter(
 			({ record }) => !record.isLeaving && isOfVersion(record, version),
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -546,7 +546,7 @@
 		const { attempt } = this;
 		if (attempt !== undefined) {
 			this.attempt = undefined;
-			attempt.end();
+			attempt.end(end === 'completed');
 			if (attempt.run !== undefined) {
 				this.parts.crashes.end(attempt.run, end, performance.now());
 			}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -7,6 +7,7 @@
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance } from '../common/peerState.js';
+import { decodePeerMessage, encodePeerMessage } from '../common/peerMessage.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
@@ -17,6 +18,7 @@
 import type { TargetListChange } from '../common/targetView.js';
 import { TargetView } from '../common/targetView.js';
 import { BlockedPromptsSync } from './blockedPromptsSync.js';
+import { BrittlenessSync } from './brittlenessSync.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationSync } from './configurationSync.js';
 import { CrashTracker } from './crashTracker.js';
@@ -92,6 +94,7 @@
 	private readonly crashTracker: CrashTracker;
 	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
+	private readonly brittlenessSync: BrittlenessSync;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -138,11 +141,8 @@
 			onLimitStated: (target, text) => {
 				this.requestLimitSync.recordStatement(target, text, performance.now());
 			},
-			onBrittlenessStated: (target, text) => {
-				if (target.brittleness !== text) {
-					target.brittleness = text;
-					log.write('decision', 'targetBrittle', { target: target.record.id, rejectionsPerSecond: text });
-				}
+			onBrittlenessStated: (target, text, isRejection) => {
+				this.brittlenessSync.recordStatement(target, text, isRejection, performance.now());
 			},
 			onBackOffRequested: ({ record }, request) => {
 				this.metrics.countDecision('targetBackOff');
@@ -164,11 +164,21 @@
 			listOthers: () =>
 				this.membership.peers.listServing(performance.now()).map(({ instance }) => instance.name),
 		});
-		this.streamOriginSync = new StreamOriginSync({
+		this.brittlenessSync = new BrittlenessSync({
+			targets: this.targets,
 			log,
+			broadcast: (message) => {
+				for (const { instance } of this.membership.peers.listAll()) {
+					this.membership.sendMessage(encodePeerMessage(message), instance.controlAddress);
+				}
+			},
+			countInstances: () => this.membership.peers.countInstances(performance.now()),
+			countHeard: () => this.membership.peers.listAll().length + 1,
+		});
+		this.streamOriginSync = new StreamOriginSync({
 			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
 			send: (controlAddress, message) => {
-				this.membership.sendMessage(message, controlAddress);
+				this.membership.sendMessage(encodePeerMessage(message), controlAddress);
 			},
 			describeVersions: (service) => {
 				const nowMs = performance.now();
@@ -250,7 +260,7 @@
 				this.streamOriginSync.handlePeerStart(instance);
 			},
 			onMessage: (message, controlAddress) => {
-				this.streamOriginSync.handleMessage(message, controlAddress);
+				this.handlePeerMessage(message, controlAddress);
 			},
 			onRelayedRequest: (message, response, relayed) => {
 				this.server.handleRelayed(message, response, relayed);
@@ -401,6 +411,7 @@
 		this.server.moveOffUnresponsiveTargets(nowMs);
 		this.shutdown.tick(nowMs);
 		this.requestLimitSync.tick(nowMs);
+		this.brittlenessSync.tick();
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.checkServing(nowMs);
@@ -439,6 +450,26 @@
 		}
 	}
 
+	private handlePeerMessage(bytes: Buffer, controlAddress: string): void {
+		const message = decodePeerMessage(bytes);
+		switch (message?.kind) {
+			case undefined:
+				this.dependencies.log.write('state', 'unreadablePeerMessage', {
+					controlAddress,
+					bytes: bytes.length,
+				});
+				return;
+			case 'rejection':
+				this.brittlenessSync.adopt(message, performance.now());
+				return;
+			case 'origins':
+			case 'query':
+			case 'reply':
+				this.streamOriginSync.handleMessage(message, controlAddress);
+				return;
+		}
+	}
+
 	private tickPromptCacheSync(nowMs: number): void {
 		if (this.activeConfiguration.version > 0 && this.view.list !== undefined) {
 			this.promptCacheSync.tick(nowMs);
--- a/packages/gateway/src/node/runningAttempt.ts
+++ b/packages/gateway/src/node/runningAttempt.ts
@@ -10,6 +10,7 @@
 
 	/** Version of the target when it got the request, whatever the list shows later. */
 	public readonly version: string;
+	private readonly startedAtMs = performance.now();
 
 	/** @param prefillTokens prompt tokens that the target has yet to prefill for this attempt */
 	constructor(
@@ -35,8 +36,11 @@
 	}
 
 	/** Releases what the attempt occupies on the target. */
-	public end(): void {
+	public end(isCompleted: boolean): void {
 		this.releasePrefillTokens();
 		this.target.recordRequestEnded();
+		if (isCompleted) {
+			this.target.brittleness.recordEnd(performance.now() - this.startedAtMs);
+		}
 	}
 }
--- a/packages/gateway/src/node/streamOriginSync.ts
+++ b/packages/gateway/src/node/streamOriginSync.ts
@@ -3,11 +3,9 @@
  * any other. Each origin is sent to a few instances that its attempt's id selects, before the caller gets the event;
  * the instance that has to resume the stream asks these.
  */
-import type { EventLog } from '../common/eventLog.js';
 import type { OriginHolder } from '../common/originHolders.js';
 import { isOriginHolder, rankOriginHolders } from '../common/originHolders.js';
-import type { StreamOriginMessage } from '../common/streamOriginMessage.js';
-import { decodeStreamOriginMessage, encodeStreamOriginMessage } from '../common/streamOriginMessage.js';
+import type { StreamOriginMessage } from '../common/peerMessage.js';
 import type { StreamOrigin, StreamOriginReport } from '../common/streamOrigins.js';
 import { StreamOrigins } from '../common/streamOrigins.js';
 import type { VersionOpinion } from '../common/versionHistory.js';
@@ -31,9 +29,8 @@
 	| { readonly kind: 'unknown'; readonly hasAllReplies: boolean };
 
 export interface StreamOriginSyncParts {
-	readonly log: EventLog;
 	readonly listPeers: () => readonly OriginHolder[];
-	readonly send: (controlAddress: string, message: Buffer) => void;
+	readonly send: (controlAddress: string, message: StreamOriginMessage) => void;
 	/** Describes what this instance knows of the versions of a service. */
 	readonly describeVersions: (service: string) => VersionOpinion;
 }
@@ -56,7 +53,7 @@
 	public record(attemptId: string, { service, version }: StreamOrigin): void {
 		const report: StreamOriginReport = [attemptId, service, version, 0];
 		this.origins.add(report, performance.now());
-		const message = encodeStreamOriginMessage({ kind: 'origins', origins: [report] });
+		const message: StreamOriginMessage = { kind: 'origins', origins: [report] };
 		for (const { controlAddress } of rankOriginHolders(attemptId, this.parts.listPeers(), TOLD_INSTANCES)) {
 			this.parts.send(controlAddress, message);
 		}
@@ -88,17 +85,12 @@
 			.filter(([attemptId]) => isOriginHolder(attemptId, peer.name, peers, TOLD_INSTANCES))
 			.slice(0, MAX_TOLD_ORIGINS);
 		if (origins.length > 0) {
-			this.parts.send(peer.controlAddress, encodeStreamOriginMessage({ kind: 'origins', origins }));
+			this.parts.send(peer.controlAddress, { kind: 'origins', origins });
 		}
 	}
 
 	/** Handles a message of the instance with the given control address. */
-	public handleMessage(bytes: Buffer, controlAddress: string): void {
-		const message = decodeStreamOriginMessage(bytes);
-		if (message === undefined) {
-			this.parts.log.write('state', 'unreadableOriginMessage', { controlAddress, bytes: bytes.length });
-			return;
-		}
+	public handleMessage(message: StreamOriginMessage, controlAddress: string): void {
 		switch (message.kind) {
 			case 'origins':
 				for (const report of message.origins) {
@@ -117,7 +109,7 @@
 	private ask(attemptId: string, service: string, asked: readonly OriginHolder[]): Promise<OriginLookup> {
 		this.lastQuery += 1;
 		const query = this.lastQuery;
-		const message = encodeStreamOriginMessage({ kind: 'query', query, attemptId, service });
+		const message: StreamOriginMessage = { kind: 'query', query, attemptId, service };
 		return new Promise((resolve) => {
 			const unanswered = new Set(asked.map(({ controlAddress }) => controlAddress));
 			const opinions = [this.parts.describeVersions(service)];
@@ -152,7 +144,7 @@
 			origin: origin === undefined ? null : [attemptId, origin.service, origin.version, 0],
 			opinion: this.parts.describeVersions(service),
 		};
-		this.parts.send(controlAddress, encodeStreamOriginMessage(reply));
+		this.parts.send(controlAddress, reply);
 	}
 
 	private handleReply(
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -66,8 +66,9 @@
 	/**
 	 * Called when a target says in a response whether it is brittle.
 	 * @param text requests that it may have to reject in a second; undefined if it is not brittle
+	 * @param isRejection whether the target rejected the request, so that it has not run
 	 */
-	readonly onBrittlenessStated: (target: TargetState, text: string | undefined) => void;
+	readonly onBrittlenessStated: (target: TargetState, text: string | undefined, isRejection: boolean) => void;
 	/** Called when a target that rejects a request states, validly or not, for how long it wants no further one. */
 	readonly onBackOffRequested: (target: TargetState, request: BackOffRequest) => void;
 }
@@ -234,7 +235,8 @@
 		}
 		if (facts.isSigned || facts.isNotRun) {
 			onLimitStated(this.target, facts.requestLimit);
-			onBrittlenessStated(this.target, facts.brittleness);
+			const isRejection = facts.isNotRun && status === HTTP_SERVICE_UNAVAILABLE;
+			onBrittlenessStated(this.target, facts.brittleness, isRejection);
 		}
 		if (status !== HTTP_SERVICE_UNAVAILABLE) {
 			return;
