Use targets again that failed for a time

After a partition instances sent every request to the one target that had stayed reachable, ten seconds after the paths were back, and its load broke the bound. Cause: the failure rate of a target moves only with calls, and an outlier gets none; the mean load was taken over the targets left, so the load limit meant nothing. Class: an exclusion that only the excluded could refute. The mean load is that of all targets that can be reached. Why it works: each exclusion ends by the clock, and its end needs no call to the excluded.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -72,7 +72,7 @@
 /**
  * @param targets engines that may run the request
  * @param sources engines from which cached tokens can be fetched; empty if the service does not support it
- * @param meanLoad mean load of all healthy targets of the service, including those that are not in `targets`
+ * @param meanLoad mean load of all targets of the service that can be reached, including those that are not in `targets`
  */
 export function chooseByCachedPrefix(
 	targets: readonly TargetState[],
--- a/packages/gateway/src/common/peerRoutes.ts
+++ b/packages/gateway/src/common/peerRoutes.ts
@@ -28,7 +28,7 @@
 			const isUsable =
 				!excluded.has(record.id) &&
 				ownRequests < MAX_REQUESTS_PER_PEER &&
-				!health.isSuspended(nowMs) &&
+				!health.isSuspended(ownRequests, nowMs) &&
 				!state.isUnresponsive(nowMs);
 			if (isUsable && cost < lowest) {
 				best = state;
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -49,7 +49,7 @@
 export interface Placement {
 	readonly target: TargetState;
 	readonly reason: PlacementReason;
-	/** Mean load of the targets that were considered. */
+	/** Mean load of the targets of the service that can be reached. */
 	readonly meanLoad: number;
 	/** Tokens of the prompt that the target probably has cached. */
 	readonly cachedTokens: number;
@@ -136,12 +136,13 @@
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
 		const all = this.byService.get(request.service) ?? [];
 		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
-		const healthy = selectHealthy(serving, nowMs);
+		const live = serving.filter((target) => isReachable(target, nowMs));
+		const healthy = selectHealthy(live, nowMs);
 		const candidates = healthy.filter((target) => isAllowed(target, request));
 		if (candidates.length === 0) {
 			return this.chooseLastResort(serving, request);
 		}
-		const meanLoad = healthy.reduce((sum, { load }) => sum + load, 0) / healthy.length;
+		const meanLoad = live.reduce((sum, { load }) => sum + load, 0) / live.length;
 		if (request.prompt.length === 0) {
 			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad);
 		}
@@ -211,10 +212,9 @@
 	}
 }
 
-function selectHealthy(serving: readonly TargetState[], nowMs: number): TargetState[] {
-	const reachable = serving.filter((target) => isReachable(target, nowMs));
-	const lowestFailureRate = reachable.reduce((lowest, { health }) => Math.min(lowest, health.failureRate), 1);
-	return reachable.filter(({ health }) => !health.isOutlier(lowestFailureRate));
+function selectHealthy(live: readonly TargetState[], nowMs: number): TargetState[] {
+	const lowestFailureRate = live.reduce((lowest, { health }) => Math.min(lowest, health.failureRate), 1);
+	return live.filter(({ health, ownRequests }) => !health.isOutlier(lowestFailureRate, ownRequests, nowMs));
 }
 
 function isAllowed({ record }: TargetState, { excluded, allowed, version }: PlacementRequest): boolean {
@@ -226,7 +226,7 @@
 }
 
 function isReachable(target: TargetState, nowMs: number): boolean {
-	return !target.health.isSuspended(nowMs) && !target.isUnresponsive(nowMs);
+	return !target.health.isSuspended(target.ownRequests, nowMs) && !target.isUnresponsive(nowMs);
 }
 
 function findLowest(
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -351,7 +351,7 @@
 		}
 		switch (result.kind) {
 			case 'delivered':
-				attempt.target.health.recordResponse(false);
+				attempt.target.health.recordResponse(false, performance.now());
 				if (isSuccess(result.status) && attempt.run !== undefined) {
 					this.parts.crashes.recordAnswered(attempt.run, performance.now());
 				}
@@ -359,7 +359,7 @@
 				this.end('answered', { status: result.status });
 				return;
 			case 'failureAnswer':
-				attempt.target.health.recordResponse(true);
+				attempt.target.health.recordResponse(true, performance.now());
 				this.closeAttempt('failed');
 				if (attempt.isRelayed) {
 					// The other instance has made the further attempts.
@@ -430,7 +430,7 @@
 				}
 				return;
 			case 'malformed':
-				health.recordResponse(true);
+				health.recordResponse(true, performance.now());
 				this.closeAttempt('failed');
 				return;
 			case 'rejected':
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -65,7 +65,7 @@
 		const table = makeTable('x');
 		table.find('x')?.recordBackOff(1000);
 		table.find('x')?.recordBackOff(600);
-		table.find('x')?.health.recordResponse(false);
+		table.find('x')?.health.recordResponse(false, 0);
 		expect(choose(table, {}, 900)).to.equal(undefined);
 	});
 
@@ -87,14 +87,14 @@
 	it('does not choose a target that fails much more often than the others, but chooses one that fails as often as all', () => {
 		const table = makeTable('x', 'y');
 		for (let answer = 0; answer < 20; answer++) {
-			table.find('x')?.health.recordResponse(true);
-			table.find('y')?.health.recordResponse(false);
+			table.find('x')?.health.recordResponse(true, 0);
+			table.find('y')?.health.recordResponse(false, 0);
 		}
 		for (let request = 0; request < 20; request++) {
 			expect(choose(table)).to.equal('y');
 		}
 		for (let answer = 0; answer < 20; answer++) {
-			table.find('y')?.health.recordResponse(true);
+			table.find('y')?.health.recordResponse(true, 0);
 		}
 		const chosen = new Set(Array.from({ length: 50 }, () => choose(table)));
 		expect(chosen.size).to.equal(2);
--- a/packages/gateway/test/model/recoveringTargets.test.ts
+++ b/packages/gateway/test/model/recoveringTargets.test.ts
@@ -119,7 +119,7 @@
 			return;
 		}
 		target.recordTimeToHead(elapsedMs);
-		target.health.recordResponse(isBad && this.failure === 'error');
+		target.health.recordResponse(isBad && this.failure === 'error', nowMs);
 	}
 
 	private schedule(atMs: number, work: () => void): void {
