Forget a target's slowness if it does not respond any more

A target that had been slow for a time was hardly chosen again: 14 tests of the model recoveringTargets fail, a service got its requests from the targets that were never slow. Cause: the average time to the response moves only with responses, by a tenth each, and the choice avoids slow targets. Class: an exclusion that only the excluded could refute, as that of outliers. Change: what is known of a target's slowness loses half of its weight in 0.7 s without a response, in the choice and when the next response is averaged in. Measured: 124 of 124 tests of the model pass.

--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -11,6 +11,8 @@
 
 /** Weight of the latest response in the moving average of the time to the response head. */
 const TIME_TO_HEAD_WEIGHT = 0.1;
+/** Time without a response in which half of what is known of a target's slowness is forgotten. */
+const SLOWDOWN_HALF_LIFE_MS = 700;
 
 export class TargetState {
 	public readonly nameHash: number;
@@ -28,11 +30,9 @@
 	public ownPrefillTokens = 0;
 	/** Prompt tokens that the target still has to prefill for requests of the other instances, as last reported. */
 	public peerPrefillTokens = 0;
-	/**
-	 * Exponentially weighted moving average of the time to the response head, in ms; 0 before the first
-	 * response.
-	 */
-	public averageTimeToHeadMs = 0;
+	/** Exponentially weighted moving average of the time to the response head, in ms; 0 before the first response. */
+	private averageTimeToHeadMs = 0;
+	private respondedAtMs = -Infinity;
 	/** Until then the target wants no request from this instance. */
 	private backOffUntilMs = -Infinity;
 	private lastActivityMs = -Infinity;
@@ -87,11 +87,30 @@
 		this.lastActivityMs = nowMs;
 	}
 
-	public recordTimeToHead(elapsedMs: number): void {
-		this.averageTimeToHeadMs =
-			this.averageTimeToHeadMs === 0
-				? elapsedMs
-				: this.averageTimeToHeadMs + TIME_TO_HEAD_WEIGHT * (elapsedMs - this.averageTimeToHeadMs);
+	public recordTimeToHead(elapsedMs: number, nowMs: number): void {
+		const averageMs = this.averageTimeToHeadMs === 0 ? elapsedMs : this.averageTimeToHeadMs;
+		const weight = Math.max(TIME_TO_HEAD_WEIGHT, 1 - this.computeRetention(nowMs));
+		this.averageTimeToHeadMs = averageMs + weight * (elapsedMs - averageMs);
+		this.respondedAtMs = nowMs;
+	}
+
+	/** Average time to the response head in ms; undefined before the first response. */
+	public get timeToHeadMs(): number | undefined {
+		return this.averageTimeToHeadMs === 0 ? undefined : this.averageTimeToHeadMs;
+	}
+
+	/**
+	 * Returns by which factor the target responds more slowly than the fastest. It returns to 1 without responses, since a
+	 * target that is avoided for its slowness could not show that it is faster again.
+	 */
+	public computeSlowdown(fastestMs: number, nowMs: number): number {
+		const excess = Math.max(this.averageTimeToHeadMs, fastestMs) / fastestMs - 1;
+		return 1 + excess * this.computeRetention(nowMs);
+	}
+
+	/** Share of what is known of the target's slowness that still counts. */
+	private computeRetention(nowMs: number): number {
+		return 2 ** (-Math.max(0, nowMs - this.respondedAtMs) / SLOWDOWN_HALF_LIFE_MS);
 	}
 
 	/** Whether requests of this instance are in flight and the target has sent nothing for too long. */
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -140,17 +140,17 @@
 		const healthy = selectHealthy(live, nowMs);
 		const candidates = healthy.filter((target) => isAllowed(target, request));
 		if (candidates.length === 0) {
-			return this.chooseLastResort(serving, request);
+			return this.chooseLastResort(serving, request, nowMs);
 		}
 		const meanLoad = live.reduce((sum, { load }) => sum + load, 0) / live.length;
 		if (request.prompt.length === 0) {
-			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad);
+			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
 		}
 		// Cached prompts can still be fetched from a leaving target.
 		const sources = request.hasCacheTransfer ? all.filter((target) => isReachable(target, nowMs)) : [];
 		const choice = chooseByCachedPrefix(candidates, request, sources, meanLoad);
 		if (choice === undefined) {
-			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad);
+			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
 		}
 		const { isOverflow, ...placed } = choice;
 		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
@@ -173,21 +173,23 @@
 	private chooseLastResort(
 		serving: readonly TargetState[],
 		request: PlacementRequest,
+		nowMs: number,
 	): Placement | undefined {
 		const candidates = serving.filter((target) => isAllowed(target, request));
 		if (candidates.length === 0) {
 			return undefined;
 		}
-		return this.chooseLowestCost(candidates, 'lastResort', 0);
+		return this.chooseLowestCost(candidates, 'lastResort', 0, nowMs);
 	}
 
 	private chooseLowestCost(
 		candidates: readonly TargetState[],
 		reason: PlacementReason,
 		meanLoad: number,
+		nowMs: number,
 	): Placement {
 		return {
-			target: this.findLowestCost(candidates),
+			target: this.findLowestCost(candidates, nowMs),
 			reason,
 			meanLoad,
 			cachedTokens: 0,
@@ -196,14 +198,14 @@
 	}
 
 	/** Finds the target with the lowest cost by load, response time and availability zone. */
-	private findLowestCost(candidates: readonly TargetState[]): TargetState {
+	private findLowestCost(candidates: readonly TargetState[], nowMs: number): TargetState {
 		const timesToHeadMs = candidates
-			.map(({ averageTimeToHeadMs }) => averageTimeToHeadMs)
-			.filter((timeMs) => timeMs > 0);
+			.map(({ timeToHeadMs }) => timeToHeadMs)
+			.filter((timeMs) => timeMs !== undefined);
 		const fastestMs = timesToHeadMs.length === 0 ? 1 : Math.min(...timesToHeadMs);
 		return findLowest(candidates, (target) => {
 			const zoneCost = target.record.zone === this.ownZone ? 0 : CROSS_ZONE_COST;
-			const slowdown = Math.max(target.averageTimeToHeadMs, fastestMs) / fastestMs;
+			const slowdown = target.computeSlowdown(fastestMs, nowMs);
 			return (
 				(target.load / target.record.slots + BASE_UTILIZATION + zoneCost / ZONE_COST_SLOTS) * slowdown +
 				Math.random() * RANDOM_COST
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -223,7 +223,7 @@
 		if (!facts.isMisdirected && !isRelayed) {
 			this.handleTargetState(head.status, facts, nowMs);
 		}
-		this.target.recordTimeToHead(nowMs - this.sentAtMs);
+		this.target.recordTimeToHead(nowMs - this.sentAtMs, nowMs);
 		this.listener.onHead(head, facts);
 	}
 
--- a/packages/gateway/test/model/recoveringTargets.test.ts
+++ b/packages/gateway/test/model/recoveringTargets.test.ts
@@ -118,7 +118,7 @@
 			target.health.recordConnectionFailure(nowMs, false);
 			return;
 		}
-		target.recordTimeToHead(elapsedMs);
+		target.recordTimeToHead(elapsedMs, nowMs);
 		target.health.recordResponse(isBad && this.failure === 'error', nowMs);
 	}
 
