--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -6,9 +6,7 @@
 import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { computeReturnDelay } from '../common/returnDelay.js';
-import { buildRelayHeaders } from '../common/relayHeaders.js';
 import type { ResponseHead } from '../common/responseParser.js';
-import { pickService } from '../common/routeTable.js';
 import { parseBackOff } from '../common/targetBackOff.js';
 import type { TargetState } from '../common/targetState.js';
 import type { Placement } from '../common/targetTable.js';
@@ -17,24 +15,24 @@
 import type { CallerResponse } from './callerResponse.js';
 import type { TargetRun } from './crashTracker.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
+import { ExchangePlacement } from './exchangePlacement.js';
 import { ExchangeReport } from './exchangeReport.js';
+import type { RequestProgress } from './outgoingHeaders.js';
+import { buildOutgoingHeaders } from './outgoingHeaders.js';
 import { RunningAttempt } from './runningAttempt.js';
+import type { OriginLookup } from './streamOriginSync.js';
 
 /** No further attempt is sent if less than this is left before the deadline. */
 const MIN_ATTEMPT_MS = 30;
 /** Least urgent priority that targets accept. */
 const LEAST_URGENT_PRIORITY = 9;
-/** Limit of the instances to which one request is relayed, one after the other. */
-const MAX_RELAYS = 3;
 /** Further time in which an instance to which a request is relayed may send nothing, since it tries targets itself. */
 const RELAY_MARGIN_MS = 1000;
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
 const MIN_PREFILL_TOKENS_PER_MS = 10;
 
 export class Exchange {
-	private service: string;
-	/** Version at which the stream has to go on; undefined while any may serve. */
-	private version: string | undefined;
+	private readonly placement: ExchangePlacement;
 	private readonly prompt: PromptChain;
 	private readonly history: AttemptHistory;
 	private readonly report: ExchangeReport;
@@ -45,11 +43,6 @@
 	private hasForwardedEvents = false;
 	/** A target's 5xx response, which the caller gets if no further attempt succeeds. */
 	private fallback: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
-	/** Whether a target could not be reached, so that another instance may serve the request. */
-	private hasUnreachableTargets = false;
-	/** Whether the stream goes on through another instance, which knows its version. */
-	private isRelayedStream = false;
-	private relays = 0;
 	private isEnded = false;
 
 	/** @param onEnded called once, when the request has ended */
@@ -60,10 +53,10 @@
 		private readonly onEnded: () => void,
 	) {
 		const { route, request, receivedAtMs } = input;
-		this.service = pickService(route.services, Math.random()) ?? '';
 		this.report = new ExchangeReport(parts, input);
 		this.history = new AttemptHistory(route.maxAttempts);
 		this.prompt = route.hasAffinity ? buildPromptChain(request.prompt) : [];
+		this.placement = new ExchangePlacement(parts, input, this.prompt, this.history);
 		this.lastEventId = request.lastEventId;
 		for (const target of input.relayed?.usedTargets ?? []) {
 			this.history.recordEarlierRun(target);
@@ -79,17 +72,20 @@
 	}
 
 	public start(): void {
-		if (this.isResumedByCaller()) {
-			void this.startFromOrigin();
-		} else {
+		const lookup = this.placement.findOrigin();
+		if (lookup === undefined) {
 			this.startAttempts();
+		} else {
+			void lookup.then((result) => {
+				this.startFromOrigin(result);
+			});
 		}
 	}
 
 	private startAttempts(): void {
 		const { crashes, countRequest } = this.parts;
 		if (this.input.relayed === undefined) {
-			countRequest(this.service);
+			countRequest(this.placement.service);
 		}
 		const risk = crashes.check(this.input.traits, performance.now());
 		switch (risk.kind) {
@@ -130,11 +126,11 @@
 			return;
 		}
 		const { id } = attempt.target.record;
-		const placement = this.choosePlacement(new Set([...this.history.excluded, id]));
+		const placement = this.placement.choose(new Set([...this.history.excluded, id]));
 		if (
 			placement === undefined ||
 			placement.reason === 'lastResort' ||
-			!this.parts.acquireRetry(this.service)
+			!this.parts.acquireRetry(this.placement.service)
 		) {
 			return;
 		}
@@ -145,47 +141,29 @@
 		this.sendOrEnd(placement);
 	}
 
-	private isResumedByCaller(): boolean {
-		const { request, route } = this.input;
-		const namesStream = request.lastEventId !== undefined || request.resumedAttemptId !== undefined;
-		return route.kind === 'stream' && namesStream;
-	}
-
 	/** Starts at the version that began the stream which the caller resumes. */
-	private async startFromOrigin(): Promise<void> {
-		const { request, route } = this.input;
-		const lookup = await this.parts.findStreamOrigin(request.resumedAttemptId, this.service);
+	private startFromOrigin(lookup: OriginLookup): void {
 		if (this.isEnded) {
 			return;
 		}
-		if (lookup.kind === 'unknown') {
-			const reason = lookup.hasAllReplies ? 'unknownStream' : 'streamNotFound';
-			this.refuse(reason, 'the version that began the stream is not known');
-			return;
-		}
-		const { service, version } = lookup.origin;
-		this.version = version;
-		if (route.services.some((weighted) => weighted.service === service)) {
-			this.service = service;
+		switch (lookup.kind) {
+			case 'known':
+				this.placement.adoptOrigin(lookup.origin);
+				this.startAttempts();
+				return;
+			case 'unknown': {
+				const reason = lookup.hasAllReplies ? 'unknownStream' : 'streamNotFound';
+				this.refuse(reason, 'the version that began the stream is not known');
+				return;
+			}
 		}
-		this.startAttempts();
 	}
 
 	private sendNext(): void {
-		const { excluded } = this.history;
-		const placement =
-			this.choosePlacement(excluded) ?? (this.hasUnreachableTargets ? this.chooseRelay(excluded) : undefined);
+		const placement = this.placement.chooseNext();
 		if (placement === undefined) {
-			const isVersionGone =
-				this.version !== undefined && !this.parts.targets.hasVersion(this.service, this.version);
-			if (isVersionGone) {
-				this.endWithFailure(
-					'versionGone',
-					`service ${this.service} has no target of version ${this.version}`,
-				);
-			} else {
-				this.endWithFailure('noTarget', `service ${this.service} has no target that takes work`);
-			}
+			const { reason, detail } = this.placement.describeMissing();
+			this.endWithFailure(reason, detail);
 			return;
 		}
 		this.sendOrEnd(placement);
@@ -200,39 +178,6 @@
 		}
 	}
 
-	private choosePlacement(excluded: ReadonlySet<string>): Placement | undefined {
-		const { objectiveMs } = this.input.route;
-		if (this.isRelayedStream || this.parts.hasLostPath()) {
-			const relay = this.chooseRelay(excluded);
-			if (relay !== undefined || this.isRelayedStream) {
-				return relay;
-			}
-		}
-		return this.parts.targets.choose(
-			{
-				service: this.service,
-				prompt: this.prompt,
-				objectiveMs,
-				hasCacheTransfer: this.parts.hasCacheTransfer(this.service),
-				excluded,
-				allowed: this.history.allowed,
-				version: this.version,
-			},
-			performance.now(),
-		);
-	}
-
-	/** Chooses another instance for the request, which must not come from one itself. */
-	private chooseRelay(excluded: ReadonlySet<string>): Placement | undefined {
-		if (this.input.relayed !== undefined || this.relays >= MAX_RELAYS) {
-			return undefined;
-		}
-		const target = this.parts.choosePeer(excluded);
-		return target === undefined
-			? undefined
-			: { target, reason: 'relay', meanLoad: 0, cachedTokens: 0, cacheSource: undefined };
-	}
-
 	private send(placement: Placement): boolean {
 		const { request, route, body } = this.input;
 		const { target } = placement;
@@ -249,7 +194,7 @@
 			},
 			onEvent: (id) => {
 				this.recordAnswering(attempt);
-				this.recordOrigin(attempt);
+				this.placement.recordEvent(attempt, !this.hasForwardedEvents);
 				this.hasForwardedEvents = true;
 				this.lastEventId = id ?? this.lastEventId;
 			},
@@ -266,11 +211,11 @@
 		const run = isRelayed ? undefined : this.startRun(target, nowMs);
 		const attempt = new RunningAttempt(target, response, run, prefillTokens);
 		this.attempt = attempt;
-		this.relays += isRelayed ? 1 : 0;
+		this.placement.recordSend(placement);
 		this.report.recordPlacement(placement);
 		const prefillTimeMs = countTokens(request.prompt) / MIN_PREFILL_TOKENS_PER_MS;
 		target.recordRequestSent(nowMs, prefillTimeMs + (isRelayed ? RELAY_MARGIN_MS : 0));
-		const headers = isRelayed ? this.buildRelayHeaders(nowMs) : this.buildDispatchHeaders(placement, nowMs);
+		const headers = buildOutgoingHeaders(this.parts, this.input, placement, this.describeProgress(nowMs));
 		const outgoing = { request, headers, body, isRepeatable: isIdempotent(route), isRelayed };
 		const call = this.parts.client.send(target, outgoing, response);
 		if (call === undefined) {
@@ -289,35 +234,15 @@
 		return this.parts.crashes.start(this.input.traits, incarnation, nowMs);
 	}
 
-	private buildDispatchHeaders({ target, cacheSource }: Placement, nowMs: number): readonly string[] {
-		const { request, customer } = this.input;
-		return this.parts.codec.buildDispatchHeaders(request, {
-			target: target.record.id,
-			remainingMs: this.computeRemainingMs(nowMs),
-			customer: customer?.name,
-			priority: this.priority,
-			cacheSourceAddress: cacheSource?.record.address,
-			resumeAfterEventId: this.resumeAfterEventId,
-		});
-	}
-
-	private buildRelayHeaders(nowMs: number): readonly string[] {
-		const { request, apiKey } = this.input;
-		const headers = this.parts.codec.buildRelayedHeaders(request, {
-			remainingMs: this.computeRemainingMs(nowMs),
-			apiKey,
-			resumeAfterEventId: this.resumeAfterEventId,
-			resumedAttemptId: this.hasForwardedEvents ? request.attemptId : undefined,
-		});
-		return [...headers, ...buildRelayHeaders(this.parts.self, this.history.usedTargets)];
-	}
-
-	private computeRemainingMs(nowMs: number): number {
-		return Math.max(1, Math.floor(this.deadlineAtMs - nowMs));
-	}
-
-	private get resumeAfterEventId(): string | undefined {
-		return this.hasForwardedEvents ? this.lastEventId : this.input.request.lastEventId;
+	private describeProgress(nowMs: number): RequestProgress {
+		const { hasForwardedEvents, history, input, lastEventId, priority } = this;
+		return {
+			remainingMs: Math.max(1, Math.floor(this.deadlineAtMs - nowMs)),
+			priority,
+			resumeAfterEventId: hasForwardedEvents ? lastEventId : input.request.lastEventId,
+			hasForwardedEvents,
+			usedTargets: history.usedTargets,
+		};
 	}
 
 	private recordAnswering({ run }: RunningAttempt): void {
@@ -326,15 +251,6 @@
 		}
 	}
 
-	/** Called before each event: the first one that the caller gets decides on the version of the stream. */
-	private recordOrigin({ version, isRelayed }: RunningAttempt): void {
-		this.isRelayedStream ||= isRelayed;
-		if (!this.hasForwardedEvents && !isRelayed) {
-			this.version = version;
-			this.parts.recordStreamOrigin(this.input.request.attemptId, { service: this.service, version });
-		}
-	}
-
 	private handleRequestWriting(): void {
 		const { attempt } = this;
 		if (attempt !== undefined) {
@@ -412,8 +328,7 @@
 	private recordFailure(attempt: RunningAttempt, failure: AttemptFailure): void {
 		const { health } = attempt.target;
 		if (!attempt.isRelayed && isPathFailure(failure)) {
-			this.hasUnreachableTargets = true;
-			this.parts.recordPathFailure();
+			this.placement.recordPathFailure();
 		}
 		switch (failure) {
 			case 'unreachable':
@@ -449,7 +364,7 @@
 		const decision = this.decide(mayHaveRun);
 		const isFurtherAttempt = decision === 'retry' || decision === 'resume';
 		const hasRetryBudget =
-			!isFurtherAttempt || this.history.sends === 0 || this.parts.acquireRetry(this.service);
+			!isFurtherAttempt || this.history.sends === 0 || this.parts.acquireRetry(this.placement.service);
 		this.logFailure(failure, detail, mayHaveRun, hasRetryBudget ? decision : 'retryDenied', load);
 		if (isFurtherAttempt && hasRetryBudget) {
 			this.sendNext();
@@ -502,7 +417,7 @@
 			this.refuse('targetFailed', detail);
 			return;
 		}
-		const pauseMs = this.parts.targets.computePause(this.service, this.version, performance.now());
+		const pauseMs = this.placement.computePause(performance.now());
 		if (pauseMs > 0) {
 			const returnDelayMs = computeReturnDelay(pauseMs, this.priority, Math.random());
 			this.refuse('targetsBackingOff', detail, returnDelayMs);
@@ -559,7 +474,7 @@
 		}
 		this.isEnded = true;
 		clearTimeout(this.timer);
-		this.report.logEnd(outcome, this.service, this.history, this.lastEventId, fields);
+		this.report.logEnd(outcome, this.placement.service, this.history, this.lastEventId, fields);
 		this.onEnded();
 	}
 }
