--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -17,6 +17,8 @@
 const NON_REPEATABLE_IDLE_LIMIT_MS = 1000;
 /** Limit of the body of a response to another request, which is read to get to the awaited one. */
 const MAX_CROSSED_BYTES = 1_048_576;
+/** How long a probed connection has to stay open. */
+const PROBE_HOLD_MS = 30;
 const CRLF = '\r\n';
 const HTTP_SERVICE_UNAVAILABLE = 503;
 
@@ -93,7 +95,10 @@
 		return call;
 	}
 
-	/** Checks whether a target accepts connections; the connection stays in the pool for the next request. */
+	/**
+	 * Checks whether a target accepts connections and does not reset them at once; the connection stays in the pool for the
+	 * next request.
+	 */
 	public probe(target: TargetState): Promise<boolean> {
 		return new Promise((resolve) => {
 			const connection = this.getPool(target).open();
@@ -101,7 +106,9 @@
 				'GET',
 				[],
 				() => {
-					resolve(true);
+					setTimeout(() => {
+						resolve(connection.isOpen);
+					}, PROBE_HOLD_MS);
 					return false;
 				},
 				{
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -92,6 +92,10 @@
 		return this.hasCompletedRequest;
 	}
 
+	public get isOpen(): boolean {
+		return this.isConnected && !this.isClosed;
+	}
+
 	/** Whether the connection can carry another request now. */
 	public isIdle(nowMs: number, idleLimitMs = this.idleLimitMs): boolean {
 		return (
