Hold probed connections for a time only when the path to the targets is in question

The probe after a broken connection had become 30 ms longer, in which the same content counts as running on a target that may have died, and is refused; a test failed for that (503 in place of 502). Now only the probes of the path hold their connections, and no request can take a connection that is held.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -152,7 +152,7 @@
 		this.pathMonitor = new TargetPathMonitor({
 			targets: this.targets,
 			log,
-			probe: (target) => this.client.probe(target),
+			probe: (target, holdMs) => this.client.probe(target, holdMs),
 			onDidChange: () => {
 				this.membership.announce(performance.now());
 			},
@@ -187,7 +187,7 @@
 		});
 		this.crashTracker = new CrashTracker({
 			log,
-			probe: (target) => this.client.probe(target),
+			probe: (target) => this.client.probe(target, 0),
 			onDidSuspect: () => {
 				this.membership.announce(performance.now());
 			},
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -17,8 +17,6 @@
 const NON_REPEATABLE_IDLE_LIMIT_MS = 1000;
 /** Limit of the body of a response to another request, which is read to get to the awaited one. */
 const MAX_CROSSED_BYTES = 1_048_576;
-/** How long a probed connection has to stay open. */
-const PROBE_HOLD_MS = 30;
 const CRLF = '\r\n';
 const HTTP_SERVICE_UNAVAILABLE = 503;
 
@@ -96,30 +94,12 @@
 	}
 
 	/**
-	 * Checks whether a target accepts connections and does not reset them at once; the connection stays in the pool for the
-	 * next request.
+	 * Checks whether a target accepts connections; the connection stays in the pool for the next request.
+	 * @param holdMs how long the connection has to stay open
 	 */
-	public probe(target: TargetState): Promise<boolean> {
+	public probe(target: TargetState, holdMs: number): Promise<boolean> {
 		return new Promise((resolve) => {
-			const connection = this.getPool(target).open();
-			connection.send(
-				'GET',
-				[],
-				() => {
-					setTimeout(() => {
-						resolve(connection.isOpen);
-					}, PROBE_HOLD_MS);
-					return false;
-				},
-				{
-					onHead: () => undefined,
-					onBody: () => undefined,
-					onEnd: () => true,
-					onFailure: () => {
-						resolve(false);
-					},
-				},
-			);
+			this.getPool(target).open().probe(holdMs, resolve);
 		});
 	}
 
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -92,10 +92,6 @@
 		return this.hasCompletedRequest;
 	}
 
-	public get isOpen(): boolean {
-		return this.isConnected && !this.isClosed;
-	}
-
 	/** Whether the connection can carry another request now. */
 	public isIdle(nowMs: number, idleLimitMs = this.idleLimitMs): boolean {
 		return (
@@ -140,6 +136,30 @@
 		}
 	}
 
+	/**
+	 * Reports whether the connection is established and stays open for a time, in which it carries no request. Called
+	 * before it is established.
+	 */
+	public probe(holdMs: number, onResult: (isOpen: boolean) => void): void {
+		this.listener = {
+			onHead: () => undefined,
+			onBody: () => undefined,
+			onEnd: () => true,
+			onFailure: () => {
+				onResult(false);
+			},
+		};
+		this.pendingWrite = () => {
+			setTimeout(() => {
+				if (!this.isClosed) {
+					this.listener = undefined;
+					this.markIdle();
+					onResult(true);
+				}
+			}, holdMs);
+		};
+	}
+
 	public pause(): void {
 		this.socket.pause();
 	}
--- a/packages/gateway/src/node/targetPathMonitor.ts
+++ b/packages/gateway/src/node/targetPathMonitor.ts
@@ -6,12 +6,14 @@
 
 /** Targets that are probed in one round, at random. */
 const PROBED_TARGETS = 4;
+/** How long a probed connection has to stay open: it may be accepted by something in between, and then reset. */
+const PROBE_HOLD_MS = 30;
 
 export interface TargetPathMonitorParts {
 	readonly targets: TargetTable;
 	readonly log: EventLog;
-	/** Checks whether a target accepts connections. */
-	readonly probe: (target: TargetState) => Promise<boolean>;
+	/** Checks whether a target accepts a connection that stays open for a time. */
+	readonly probe: (target: TargetState, holdMs: number) => Promise<boolean>;
 	readonly onDidChange: (isLost: boolean) => void;
 }
 
@@ -51,7 +53,7 @@
 
 	private async probeSome(beganAtMs: number): Promise<void> {
 		const targets = pickRandom([...this.parts.targets.all], PROBED_TARGETS);
-		const results = await Promise.all(targets.map((target) => this.parts.probe(target)));
+		const results = await Promise.all(targets.map((target) => this.parts.probe(target, PROBE_HOLD_MS)));
 		if (results.includes(true)) {
 			this.recordContact();
 		} else if (targets.length > 0) {
