--- a/packages/gateway/src/common/targetHealth.ts
+++ b/packages/gateway/src/common/targetHealth.ts
@@ -5,7 +5,7 @@
 
 /** First suspension after calls that did not reach the target; doubles with each further one. */
 const INITIAL_SUSPENSION_MS = 500;
-/** Below the time after which a target must get its share again. */
+/** Longest suspension; a trial follows. */
 const MAX_SUSPENSION_MS = 2000;
 /** First exclusion of an outlier; doubles with each trial that fails. */
 const INITIAL_EXCLUSION_MS = 1000;
