Read stated rates in one place, and name tests in the field's terms

Cause: a second reading. The limit and the brittleness of a target are decimal numbers of requests a second, and were parsed by two equal functions, each with a type of its own; tests and a comment of the soak used words of the users' pages. No decision and no check changed.

--- a/packages/gateway/src/common/targetBrittleness.ts
+++ b/packages/gateway/src/common/targetBrittleness.ts
@@ -27,22 +27,6 @@
 /** When a request may find room at a target that is full. */
 const FULL_DELAY_MS = 150;
 
-export type BrittlenessStatement =
-	| { readonly kind: 'none' }
-	| { readonly kind: 'brittle'; readonly rejectionsPerSecond: number }
-	| { readonly kind: 'invalid'; readonly text: string };
-
-/** @param text number of requests that the target may have to reject in a second; undefined if it is not brittle */
-export function parseBrittleness(text: string | undefined): BrittlenessStatement {
-	if (text === undefined) {
-		return { kind: 'none' };
-	}
-	const trimmed = text.trim();
-	return /^\d{1,9}(?:\.\d{1,9})?$/.test(trimmed)
-		? { kind: 'brittle', rejectionsPerSecond: Number(trimmed) }
-		: { kind: 'invalid', text };
-}
-
 export class TargetBrittleness {
 	/** Number of instances that share the target's room. */
 	public instances = 1;
--- a/packages/gateway/src/common/targetRequestLimit.ts
+++ b/packages/gateway/src/common/targetRequestLimit.ts
@@ -8,22 +8,6 @@
 /** Part of a second for which an unused share is kept, if that is more than one request. */
 const MAX_BURST_SECONDS = 0.25;
 
-export type RequestLimitStatement =
-	| { readonly kind: 'none' }
-	| { readonly kind: 'limit'; readonly requestsPerSecond: number }
-	| { readonly kind: 'invalid'; readonly text: string };
-
-/** @param text decimal number of requests a second; undefined if the target names no limit */
-export function parseRequestLimit(text: string | undefined): RequestLimitStatement {
-	if (text === undefined) {
-		return { kind: 'none' };
-	}
-	const trimmed = text.trim();
-	return /^\d{1,9}(?:\.\d{1,9})?$/.test(trimmed)
-		? { kind: 'limit', requestsPerSecond: Number(trimmed) }
-		: { kind: 'invalid', text };
-}
-
 /** What a target last said of its limit; undefined requests mean that it has none. */
 export interface ObservedLimit {
 	readonly requestsPerSecond: number | undefined;
--- a/packages/gateway/src/node/brittlenessSync.ts
+++ b/packages/gateway/src/node/brittlenessSync.ts
@@ -1,7 +1,7 @@
 /** Keeps what targets say of their brittleness, and tells all instances when a brittle target rejects a request. */
 import type { EventLog } from '../common/eventLog.js';
 import type { RejectionMessage } from '../common/peerMessage.js';
-import { parseBrittleness } from '../common/targetBrittleness.js';
+import { parseStatedRate } from '../common/statedRate.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
 
@@ -39,7 +39,7 @@
 		isRejection: boolean,
 		nowMs: number,
 	): void {
-		const statement = parseBrittleness(text);
+		const statement = parseStatedRate(text);
 		switch (statement.kind) {
 			case 'invalid':
 				if (!target.hasInvalidBrittleness) {
@@ -50,13 +50,17 @@
 			case 'none':
 				this.state(target, undefined);
 				return;
-			case 'brittle':
-				this.state(target, statement.rejectionsPerSecond);
+			case 'rate':
+				this.state(target, statement.requestsPerSecond);
 				if (isRejection) {
 					target.brittleness.recordRejection(nowMs);
 					const { id, startedAtMs } = target.record;
-					const { rejectionsPerSecond } = statement;
-					this.parts.broadcast({ kind: 'rejection', target: id, startedAtMs, rejectionsPerSecond });
+					this.parts.broadcast({
+						kind: 'rejection',
+						target: id,
+						startedAtMs,
+						rejectionsPerSecond: statement.requestsPerSecond,
+					});
 				}
 				return;
 		}
--- a/packages/gateway/src/node/requestLimitSync.ts
+++ b/packages/gateway/src/node/requestLimitSync.ts
@@ -4,7 +4,7 @@
 import type { LimitUser } from '../common/requestLimitShare.js';
 import { computeLimitShare, createLimitUser } from '../common/requestLimitShare.js';
 import type { TargetState } from '../common/targetState.js';
-import { parseRequestLimit } from '../common/targetRequestLimit.js';
+import { parseStatedRate } from '../common/statedRate.js';
 import type { TargetTable } from '../common/targetTable.js';
 
 /** How long peers are told what this instance heard from a target: a few rounds of gossip in a large fleet. */
@@ -43,7 +43,7 @@
 
 	/** Records what a target says in a response. */
 	public recordStatement(target: TargetState, text: string | undefined, nowMs: number): void {
-		const statement = parseRequestLimit(text);
+		const statement = parseStatedRate(text);
 		switch (statement.kind) {
 			case 'invalid':
 				if (target.requestLimit.hasInvalidStatement) {
@@ -55,7 +55,7 @@
 			case 'none':
 				this.record(target, undefined, nowMs, true);
 				return;
-			case 'limit':
+			case 'rate':
 				this.record(target, statement.requestsPerSecond, nowMs, true);
 				return;
 		}
--- a/packages/gateway/test/common/targetBrittleness.test.ts
+++ b/packages/gateway/test/common/targetBrittleness.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { parseBrittleness, TargetBrittleness } from '../../src/common/targetBrittleness.js';
+import { TargetBrittleness } from '../../src/common/targetBrittleness.js';
 
 const SLOTS = 8;
 const BEARABLE = 10;
@@ -65,17 +65,3 @@
 		expect(turns / 800).to.be.within(0.2, 0.3);
 	});
 });
-
-describe('parseBrittleness', () => {
-	for (const [text, expected] of [
-		[undefined, { kind: 'none' }],
-		['16', { kind: 'brittle', rejectionsPerSecond: 16 }],
-		[' 2.5 ', { kind: 'brittle', rejectionsPerSecond: 2.5 }],
-		['-1', { kind: 'invalid', text: '-1' }],
-		['many', { kind: 'invalid', text: 'many' }],
-	] as const) {
-		it(`reads ${String(text)}`, () => {
-			expect(parseBrittleness(text)).to.deep.equal(expected);
-		});
-	}
-});
--- a/packages/gateway/test/common/targetRequestLimit.test.ts
+++ b/packages/gateway/test/common/targetRequestLimit.test.ts
@@ -1,19 +1,5 @@
 import { expect } from 'chai';
-import { parseRequestLimit, TargetRequestLimit } from '../../src/common/targetRequestLimit.js';
-
-describe('parseRequestLimit', () => {
-	it('reads a decimal number of requests a second', () => {
-		expect(parseRequestLimit('2')).to.deep.equal({ kind: 'limit', requestsPerSecond: 2 });
-		expect(parseRequestLimit(' 0.25 ')).to.deep.equal({ kind: 'limit', requestsPerSecond: 0.25 });
-		expect(parseRequestLimit(undefined)).to.deep.equal({ kind: 'none' });
-	});
-
-	it('rejects what is not a decimal number', () => {
-		for (const text of ['', '-1', 'few', '1e9', 'Infinity', '1,5', '9'.repeat(30)]) {
-			expect(parseRequestLimit(text), text).to.deep.equal({ kind: 'invalid', text });
-		}
-	});
-});
+import { TargetRequestLimit } from '../../src/common/targetRequestLimit.js';
 
 describe('TargetRequestLimit', () => {
 	let limit: TargetRequestLimit;
--- a/packages/gateway/test/model/brittleTargets.test.ts
+++ b/packages/gateway/test/model/brittleTargets.test.ts
@@ -253,7 +253,7 @@
 			['applications', { ...APPLICATIONS, targets: 4 }],
 		] as const) {
 			for (const [name, changes] of [
-				['all are in touch', {}],
+				['no instance is killed or cut off', {}],
 				['an instance is killed every second', { killIntervalMs: 1000 }],
 				['a quarter of the instances is cut off', { cutShare: 0.25 }],
 			] as const) {
--- a/packages/gateway/test/model/crashingPrompts.test.ts
+++ b/packages/gateway/test/model/crashingPrompts.test.ts
@@ -95,8 +95,8 @@
 		}
 		soundSent += isCrashing ? 0 : 1;
 		callerSoundSent += isCallerSound ? 1 : 0;
-		const isInTouch = instance !== cutInstance || nowMs > cutUntilMs + load.stableMs;
-		further += isCrashing && isInTouch && nowMs > boundFromMs ? 1 : 0;
+		const isConnected = instance !== cutInstance || nowMs > cutUntilMs + load.stableMs;
+		further += isCrashing && isConnected && nowMs > boundFromMs ? 1 : 0;
 		const up = engineReadyAtMs.flatMap((readyAtMs, engine) => (readyAtMs <= nowMs ? [engine] : []));
 		const engine = up[pickIndex(up.length)];
 		if (engine !== undefined) {
--- a/packages/gateway/test/model/streamOrigins.test.ts
+++ b/packages/gateway/test/model/streamOrigins.test.ts
@@ -28,7 +28,7 @@
 	/** Streams that would go on at another version. */
 	readonly mixed: number;
 	/** Streams that were resumed at an instance that is not cut off, and began at one. */
-	readonly servedInTouchShare: number;
+	readonly servedConnectedShare: number;
 }
 
 interface Member {
@@ -71,7 +71,7 @@
 	}
 
 	public async run(): Promise<Outcome> {
-		let [served, mixed, servedInTouch, inTouch] = [0, 0, 0, 0];
+		let [served, mixed, servedConnected, connected] = [0, 0, 0, 0];
 		for (let stream = 0; stream < STREAMS; stream++) {
 			const [first, second] = [this.pick(this.members), this.pick(this.members)];
 			const version = this.pick(this.load.versions);
@@ -86,11 +86,11 @@
 			served += isServed ? 1 : 0;
 			mixed += lookup.kind === 'known' && !isServed ? 1 : 0;
 			if (!first.isCut && !second.isCut) {
-				inTouch += 1;
-				servedInTouch += isServed ? 1 : 0;
+				connected += 1;
+				servedConnected += isServed ? 1 : 0;
 			}
 		}
-		return { servedShare: served / STREAMS, mixed, servedInTouchShare: servedInTouch / inTouch };
+		return { servedShare: served / STREAMS, mixed, servedConnectedShare: servedConnected / connected };
 	}
 
 	private async find({ sync }: Member, attemptId: string): Promise<OriginLookup> {
@@ -148,7 +148,7 @@
 
 	for (const instances of [4, 31, 79, 323]) {
 		for (const [name, changes] of [
-			['all are in touch', {}],
+			['no instance is killed or cut off', {}],
 			['a tenth of the datagrams is lost', { lostShare: 0.1 }],
 			['the instance that began them is killed', { killedShare: 1 }],
 			['datagrams are lost and instances are killed', { lostShare: 0.1, killedShare: 0.3 }],
@@ -158,9 +158,9 @@
 			// Guards against ORDER, streams of two versions, and against LOST, refusals of what could go on.
 			it(`${instances} instances: go on at their versions, none at another, when ${name}`, async () => {
 				const fleet = new FleetOfLookups({ ...QUIET, instances, ...changes }, clock);
-				const { mixed, servedInTouchShare } = await fleet.run();
+				const { mixed, servedConnectedShare } = await fleet.run();
 				expect(mixed).to.equal(0);
-				expect(servedInTouchShare).to.be.at.least(MIN_SERVED_SHARE);
+				expect(servedConnectedShare).to.be.at.least(MIN_SERVED_SHARE);
 			});
 		}
 	}
