Say in three cases which instances callers are directed to

Cause: a second reading; the order of four conditions had to be worked out to see what is named. Change: this instance with the others that reach targets, or only those, or, if none does, all that serve. No decision changed. Measured: build and lint pass; 25 tests of the request path and the 3 tests of directories and of a fleet without paths pass.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
-import type { FleetInstance } from '../common/peerState.js';
+import type { FleetInstance, PeerState } from '../common/peerState.js';
 import { decodePeerMessage, encodePeerMessage } from '../common/peerMessage.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
@@ -384,14 +384,18 @@
 	public listEntryAddresses(): readonly string[] {
 		const { peers } = this.membership;
 		const nowMs = performance.now();
-		const withPath = peers.listServingWithPath(nowMs);
-		const isUsed = this.isServing() && (!this.pathMonitor.isLost || withPath.length === 0);
-		// If no instance reaches the targets, all that serve are named: each may be the first whose path is back.
-		const isAnyPath = withPath.length > 0 || (isUsed && !this.pathMonitor.isLost);
-		const others = isAnyPath ? withPath : peers.listServing(nowMs);
-		const addresses = others.map(({ instance }) => instance.callersAddress);
 		const own = this.dependencies.settings.self.callersAddress;
-		return isUsed || addresses.length === 0 ? [own, ...addresses] : addresses;
+		const readAddress = ({ instance }: PeerState): string => instance.callersAddress;
+		const withPath = peers.listServingWithPath(nowMs).map(readAddress);
+		if (this.isServing() && !this.pathMonitor.isLost) {
+			return [own, ...withPath];
+		}
+		if (withPath.length > 0) {
+			return withPath;
+		}
+		// No instance reaches the targets: each that serves may be the first whose path is back.
+		const serving = peers.listServing(nowMs).map(readAddress);
+		return this.isServing() || serving.length === 0 ? [own, ...serving] : serving;
 	}
 
 	public drain(): void {
