Send nothing to targets of zones that the operator has evacuated

Cause: the operator evacuates a zone by the store key op/evacuate/ZONE, which instances did not know.

Change: where the settings have bounds.evacuate-ms, the first read and the one watch of the configuration cover the prefix op/, so no call is added. EvacuatedZones keeps the zones by era and revision, from the store and from peers' states, and holds a zone that is missing after a restore for 2.2 s. The choice of targets, cached prompts, cache lists and probes leave the zones out; an instance serves only once it knows them. Without the setting, the calls and the choice are as before.

--- a/packages/gateway/src/common/metadataStore.ts
+++ b/packages/gateway/src/common/metadataStore.ts
@@ -1,5 +1,6 @@
 /** Interface of the platform's metadata store, as far as the gateway uses it. */
 import type { Event } from '@papayawell/core';
+import type { EvacuationUpdate } from './evacuatedZones.js';
 import type { GatewayConfiguration } from './gatewayConfiguration.js';
 import type { StoreRestore } from './storeEraTracker.js';
 import type { StorePosition } from './storePosition.js';
@@ -14,6 +15,8 @@
 export interface ConfigurationReadResult {
 	/** Undefined if there is no configuration yet, or if it did not change. */
 	readonly decoded: DecodedConfiguration | undefined;
+	/** What the call reports of evacuated zones; undefined if evacuations are not in use. */
+	readonly evacuations?: EvacuationUpdate;
 	/** Position of the store from which the next watch continues. */
 	readonly position: StorePosition;
 }
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -3,6 +3,7 @@
  * the wire.
  */
 
+import type { EvacuationReport } from './evacuatedZones.js';
 import type { PartAnswerReport, PartDeathReport } from './promptCrashTracker.js';
 import type { TargetStart } from './targetStarts.js';
 
@@ -63,6 +64,8 @@
 	readonly promptAnswers?: readonly PartAnswerReport[];
 	/** What targets said of their limits; undefined from instances of an older version. */
 	readonly targetLimits?: readonly TargetLimitReport[];
+	/** Zones that the operator has evacuated; undefined if they are not known, or evacuations are not in use. */
+	readonly evacuations?: EvacuationReport;
 	/** Prompts recently sent to engines that did not have all their shared parts cached. */
 	readonly prompts: readonly PromptUpdate[];
 	/** Total tokens of the shared prompt parts that this instance knows to be cached by engines. */
--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -11,6 +11,8 @@
 	| 'noTarget'
 	| 'noConnection'
 	| 'targetsBusy'
+	/** The operator has evacuated the zones of all targets of the service. */
+	| 'zonesEvacuated'
 	/** All targets of the service asked for a pause. */
 	| 'targetsBackingOff'
 	| 'crashingRequest'
@@ -33,7 +35,7 @@
 
 /** Targets and instances restart within a few hundred ms to a few seconds. */
 const RECOVERY_RETRY_AFTER_MS = 400;
-/** Outages of the store last a few seconds; callers wait at most a third of their deadline. */
+/** Outages of the store and evacuations last a few seconds or longer; callers wait at most a third of their deadline. */
 const OUTAGE_RETRY_AFTER_MS = 2000;
 /** Another instance can accept the request at once. */
 const OTHER_INSTANCE_RETRY_AFTER_MS = 20;
@@ -68,6 +70,7 @@
 		case 'bodyTooLarge':
 			return { status: 413, retryAfterMs: undefined };
 		case 'storeLost':
+		case 'zonesEvacuated':
 			return { status: 503, retryAfterMs: addJitter(OUTAGE_RETRY_AFTER_MS) };
 		case 'noConfiguration':
 		case 'streamNotFound':
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -60,6 +60,7 @@
 export class TargetTable {
 	private readonly states = new Map<string, TargetState>();
 	private readonly byService = new Map<string, TargetState[]>();
+	private evacuatedZones: ReadonlySet<string> = new Set();
 
 	constructor(private readonly ownZone: string) {}
 
@@ -95,6 +96,22 @@
 		}
 	}
 
+	/** Sets the zones to whose targets nothing is sent. */
+	public setEvacuatedZones(zones: ReadonlySet<string>): void {
+		this.evacuatedZones = zones;
+	}
+
+	/** Whether nothing may be sent to a target, since its zone is evacuated. */
+	public isEvacuated({ record }: TargetState): boolean {
+		return this.evacuatedZones.has(record.zone);
+	}
+
+	/** Whether a service has targets of a version, all of them in evacuated zones. */
+	public isServiceEvacuated(service: string, version: string | undefined): boolean {
+		const staying = this.listStaying(service, version);
+		return staying.length > 0 && staying.every((target) => this.isEvacuated(target));
+	}
+
 	/** Replaces the loads of the other instances. */
 	public setPeerLoads(peers: readonly (readonly TargetLoad[])[]): void {
 		for (const state of this.states.values()) {
@@ -124,7 +141,7 @@
 	 * @param version version that the target must have; undefined if any may serve
 	 */
 	public computePause(service: string, version: string | undefined, nowMs: number): number {
-		const staying = this.listStaying(service, version);
+		const staying = this.listStaying(service, version).filter((target) => !this.isEvacuated(target));
 		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.computePause(nowMs)));
 	}
 
@@ -134,7 +151,7 @@
 	}
 
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
-		const all = this.byService.get(request.service) ?? [];
+		const all = this.listUsable(request.service);
 		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
 		const live = serving.filter((target) => isReachable(target, nowMs));
 		const healthy = selectHealthy(live, nowMs);
@@ -163,6 +180,12 @@
 			.rejectionsPerSecond;
 	}
 
+	/** Lists the targets of a service whose zones are not evacuated. */
+	private listUsable(service: string): readonly TargetState[] {
+		const states = this.byService.get(service) ?? [];
+		return this.evacuatedZones.size === 0 ? states : states.filter((target) => !this.isEvacuated(target));
+	}
+
 	private listStaying(service: string, version: string | undefined): readonly TargetState[] {
 		return (this.byService.get(service) ?? []).filter(
 			({ record }) => !record.isLeaving && isOfVersion(record, version),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export { HOP_BY_HOP_HEADERS, parseConnectionHeader } from '@papayawell/core';
 export { sampleAddresses, splitAddress } from './common/addresses.js';
 export type { EngineCodec } from './common/engineCodec.js';
+export type { EvacuationUpdate, ZoneChange } from './common/evacuatedZones.js';
 export type { EventLog, LogClass, LogFields } from './common/eventLog.js';
 export * from './common/gatewayConfiguration.js';
 export * from './common/gatewayRequest.js';
--- a/packages/gateway/src/node/configurationSync.ts
+++ b/packages/gateway/src/node/configurationSync.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Disposable } from '@papayawell/core';
 import type { ActiveConfiguration } from '../common/activeConfiguration.js';
+import type { EvacuationUpdate } from '../common/evacuatedZones.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import { describeError, StoreError } from '../common/metadataStore.js';
@@ -31,6 +32,8 @@
 	readonly log: EventLog;
 	/** Rank of this instance among those that serve. */
 	readonly readOwnRank: () => number;
+	/** Called with what the store reports of evacuated zones, before the configuration of the same call is adopted. */
+	readonly onEvacuationsRead?: (update: EvacuationUpdate, position: StorePosition) => void;
 	/** Fetches the text of the configuration in force at a peer; undefined if the peer does not answer. */
 	readonly fetchFromPeer: (controlAddress: string) => Promise<string | undefined>;
 }
@@ -110,6 +113,9 @@
 			position === undefined
 				? await store.readConfiguration(signal)
 				: await store.watchConfiguration(position, this.chooseWatchTimeout(), signal);
+		if (result.evacuations !== undefined) {
+			this.parts.onEvacuationsRead?.(result.evacuations, result.position);
+		}
 		if (result.decoded !== undefined) {
 			activeConfiguration.tryAdopt(result.decoded, 'store');
 		}
--- a/packages/gateway/src/node/exchangePlacement.ts
+++ b/packages/gateway/src/node/exchangePlacement.ts
@@ -85,6 +85,12 @@
 	/** Explains that `chooseNext` found nothing. */
 	public describeMissing(): { readonly reason: RefusalReason; readonly detail: string } {
 		const { service, version } = this;
+		if (this.parts.targets.isServiceEvacuated(service, version)) {
+			return {
+				reason: 'zonesEvacuated',
+				detail: `the zones of all targets of service ${service} are evacuated`,
+			};
+		}
 		return version !== undefined && !this.parts.targets.hasVersion(service, version)
 			? { reason: 'versionGone', detail: `service ${service} has no target of version ${version}` }
 			: { reason: 'noTarget', detail: `service ${service} has no target that takes work` };
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -22,6 +22,7 @@
 import { CallerServer } from './callerServer.js';
 import { ConfigurationSync } from './configurationSync.js';
 import { CrashTracker } from './crashTracker.js';
+import { EvacuationSync } from './evacuationSync.js';
 import { FleetMembership } from './fleetMembership.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
 import { PeerExchange } from './peerExchange.js';
@@ -49,6 +50,8 @@
 	readonly graceMs: number;
 	/** Whether the whole fleet starts for the first time, so that no peer knows more than the store. */
 	readonly isFirstStart: boolean;
+	/** Whether the operator may evacuate zones; requests are then served only once the evacuated zones are known. */
+	readonly hasEvacuations?: boolean;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
 }
@@ -95,6 +98,7 @@
 	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
 	private readonly brittlenessSync: BrittlenessSync;
+	private readonly evacuationSync: EvacuationSync;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -120,6 +124,7 @@
 			configurationVersion: this.activeConfiguration.version,
 			targetsAgeMs: this.view.computeAge(performance.now()),
 			peers: this.membership.peers.listAll().length,
+			evacuatedZones: this.evacuationSync.zoneCount,
 			droppedLogLines: dependencies.readDroppedLogLines(),
 		}));
 		this.client = new TargetClient({
@@ -175,6 +180,18 @@
 			countInstances: () => this.membership.peers.countInstances(performance.now()),
 			countHeard: () => this.membership.peers.listAll().length + 1,
 		});
+		this.evacuationSync = new EvacuationSync({
+			isEnabled: settings.hasEvacuations ?? false,
+			targets: this.targets,
+			log,
+			closePools: (target) => {
+				this.client.closePools(target);
+			},
+			onDidChange: () => {
+				this.metrics.countDecision('zoneEvacuationChanged');
+				this.membership.announce(performance.now());
+			},
+		});
 		this.streamOriginSync = new StreamOriginSync({
 			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
 			send: (controlAddress, message) => {
@@ -187,7 +204,9 @@
 		});
 		this.crashTracker = new CrashTracker({
 			log,
-			probe: (target) => this.client.probe(target, 0),
+			// A target that may not be probed is taken as alive: the operator may be taking its zone down.
+			probe: (target) =>
+				this.targets.isEvacuated(target) ? Promise.resolve(true) : this.client.probe(target, 0),
 			onDidSuspect: () => {
 				this.membership.announce(performance.now());
 			},
@@ -208,7 +227,8 @@
 		});
 		this.server = new CallerServer({
 			address: settings.self.callersAddress,
-			readSnapshot: () => (this.catchUp.isComplete ? this.activeConfiguration.current : undefined),
+			readSnapshot: () =>
+				this.catchUp.isComplete && this.evacuationSync.isReady ? this.activeConfiguration.current : undefined,
 			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
 			exchange: {
 				codec,
@@ -276,6 +296,10 @@
 			activeConfiguration: this.activeConfiguration,
 			log,
 			readOwnRank: () => this.membership.peers.findRankAmongServing(performance.now()),
+			onEvacuationsRead: (update, position) => {
+				this.evacuationSync.applyUpdate(update, position);
+				this.checkServing(performance.now());
+			},
 			fetchFromPeer: (address) => this.membership.fetch(address, '/configuration'),
 		});
 		this.targetListSync = new TargetListSync({
@@ -313,6 +337,7 @@
 			promptCacheSync: this.promptCacheSync,
 			crashTracker: this.crashTracker,
 			requestLimitSync: this.requestLimitSync,
+			evacuationSync: this.evacuationSync,
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
@@ -331,6 +356,7 @@
 		}
 		this.disposables.add(this.configurationSync);
 		this.disposables.add(this.blockedPromptsSync);
+		this.disposables.add(this.evacuationSync);
 		this.disposables.add(this.targetListSync);
 	}
 
@@ -376,6 +402,7 @@
 		return (
 			!this.shutdown.isStarted &&
 			this.catchUp.isComplete &&
+			this.evacuationSync.isReady &&
 			this.activeConfiguration.version > 0 &&
 			this.view.list !== undefined
 		);
@@ -416,6 +443,7 @@
 		this.shutdown.tick(nowMs);
 		this.requestLimitSync.tick(nowMs);
 		this.brittlenessSync.tick();
+		this.evacuationSync.tick(nowMs);
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.checkServing(nowMs);
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -8,6 +8,7 @@
 import type { TargetView } from '../common/targetView.js';
 import type { ConfigurationSync } from './configurationSync.js';
 import type { CrashTracker } from './crashTracker.js';
+import type { EvacuationSync } from './evacuationSync.js';
 import type { PromptCacheSync } from './promptCacheSync.js';
 import type { RequestLimitSync } from './requestLimitSync.js';
 import type { TargetListSync } from './targetListSync.js';
@@ -23,6 +24,7 @@
 	readonly promptCacheSync: PromptCacheSync;
 	readonly crashTracker: CrashTracker;
 	readonly requestLimitSync: RequestLimitSync;
+	readonly evacuationSync: EvacuationSync;
 	readonly isServing: () => boolean;
 	/** Whether this instance reaches targets itself. */
 	readonly hasTargetPath: () => boolean;
@@ -35,6 +37,7 @@
 		const { activeConfiguration, crashTracker, promptCacheSync, requestLimitSync, view } = this.parts;
 		const nowMs = performance.now();
 		const { list } = view;
+		const evacuations = this.parts.evacuationSync.describe(nowMs);
 		return {
 			isServing: this.parts.isServing(),
 			hasTargetPath: this.parts.hasTargetPath(),
@@ -51,6 +54,7 @@
 			crashes: crashTracker.listCrashes(nowMs),
 			...crashTracker.describePromptParts(nowMs),
 			targetLimits: requestLimitSync.listReports(nowMs),
+			...(evacuations === undefined ? {} : { evacuations }),
 		};
 	}
 
@@ -75,6 +79,8 @@
 		const { configurationVersion, targetsRevision, targetsAgeMs, targetsDigest } = state;
 		const { controlAddress } = state.instance;
 		const era = state.storeEra ?? 0;
+		// Before the configuration or the targets of this peer make this instance serve.
+		this.parts.evacuationSync.adopt(state.evacuations, nowMs);
 		catchUp.recordPeer(state);
 		if (targetsRevision > 0) {
 			store.observePeerEra(era);
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -3,6 +3,7 @@
  * because in a large fleet gossip is most of the traffic between availability zones.
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { isEvacuationReport } from '../common/evacuatedZones.js';
 import type { PeerState } from '../common/peerState.js';
 import { isPartAnswerReport, isPartDeathReport } from '../common/promptCrashTracker.js';
 
@@ -60,6 +61,7 @@
 		isOptionalList(state.promptDeaths, isPartDeathReport) &&
 		isOptionalList(state.promptAnswers, isPartAnswerReport) &&
 		isOptionalList(state.targetLimits, isTargetLimitReport) &&
+		(state.evacuations === undefined || isEvacuationReport(state.evacuations)) &&
 		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
--- a/packages/gateway/src/node/promptCacheSync.ts
+++ b/packages/gateway/src/node/promptCacheSync.ts
@@ -199,10 +199,14 @@
 	}
 
 	private async fetchCacheList(engine: TargetState): Promise<number> {
-		const { codec, fetchDocument, log, getCacheCapacity } = this.parts;
+		const { codec, fetchDocument, log, getCacheCapacity, targets } = this.parts;
 		const reportFailure = (detail: string): void => {
 			log.write('state', 'promptsNotListed', { target: engine.record.id, detail });
 		};
+		if (targets.isEvacuated(engine)) {
+			reportFailure('the zone of the target is evacuated');
+			return 0;
+		}
 		const text = await fetchDocument(engine, codec.cacheListPath, ENGINE_QUERY_TIMEOUT_MS, reportFailure);
 		if (text === undefined) {
 			return 0;
--- a/packages/gateway/src/node/targetPathMonitor.ts
+++ b/packages/gateway/src/node/targetPathMonitor.ts
@@ -52,7 +52,8 @@
 	}
 
 	private async probeSome(beganAtMs: number): Promise<void> {
-		const targets = pickRandom([...this.parts.targets.all], PROBED_TARGETS);
+		const usable = [...this.parts.targets.all].filter((target) => !this.parts.targets.isEvacuated(target));
+		const targets = pickRandom(usable, PROBED_TARGETS);
 		const results = await Promise.all(targets.map((target) => this.parts.probe(target, PROBE_HOLD_MS)));
 		if (results.includes(true)) {
 			this.recordContact();
