List no instance that was killed for longer than 4 s in a large fleet

Cause: the directory lists a peer for 2.5 of its gossip intervals after its last state, and the interval grows with the fleet: 10.5 s at 323 instances, where 7 s are allowed.

Change: where states come more seldom than every 1.5 s (more than 121 instances), an instance sends short heartbeats between them, to the instances that announce that they read them, and the timeouts follow the interval of both. Fleets of up to 121 instances send what they sent before.

Result: in a model of PeerTable with 1 of 20 datagrams lost, killed instances are listed for 4 s at most at 4, 32, 79 and 323 instances, and at least 9 in 10 living ones are listed at any time; without heartbeats the test fails at 323. The tests of packages/gateway/test/common and test/node and zoneEvacuation pass.

--- a/packages/gateway/src/common/peerMessage.ts
+++ b/packages/gateway/src/common/peerMessage.ts
@@ -13,7 +13,15 @@
 	readonly rejectionsPerSecond: number;
 }
 
-export type PeerMessage = StreamOriginMessage | RejectionMessage;
+/** A sign of life between two states, in fleets in which states come seldom. */
+export interface HeartbeatMessage {
+	readonly kind: 'heartbeat';
+	readonly name: string;
+	readonly incarnation: string;
+	readonly isServing: boolean;
+}
+
+export type PeerMessage = StreamOriginMessage | RejectionMessage | HeartbeatMessage;
 
 /** Messages by which instances tell and ask one another of the origins of streams. */
 export type StreamOriginMessage =
@@ -65,6 +73,12 @@
 				(message.origin === null || isStreamOriginReport(message.origin)) &&
 				isVersionOpinion(message.opinion)
 			);
+		case 'heartbeat':
+			return (
+				typeof message.name === 'string' &&
+				typeof message.incarnation === 'string' &&
+				typeof message.isServing === 'boolean'
+			);
 		case 'rejection':
 			return (
 				typeof message.target === 'string' &&
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -35,6 +35,8 @@
 	readonly instance: FleetInstance;
 	/** Whether this instance reads compressed states; undefined from instances of an older version. */
 	readonly acceptsCompressed?: boolean;
+	/** Whether this instance sends heartbeats between its states, and reads them; undefined in small fleets. */
+	readonly sendsHeartbeats?: boolean;
 	/** Whether callers may be directed to this instance. */
 	readonly isServing: boolean;
 	/** Whether this instance reaches targets itself; undefined from instances of an older version, which do not tell. */
@@ -77,7 +79,7 @@
 }
 
 /** The part of the state that a gateway describes; its membership of the fleet adds the rest. */
-export type GatewayState = Omit<PeerState, 'acceptsCompressed' | 'known' | 'instance'>;
+export type GatewayState = Omit<PeerState, 'acceptsCompressed' | 'sendsHeartbeats' | 'known' | 'instance'>;
 
 /** Target, requests in flight on it, and prompt tokens that it still has to prefill for them. */
 export type TargetLoad = readonly [id: string, requests: number, prefillTokens: number];
--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -1,5 +1,6 @@
 /** Tracks the other instances of the fleet by their gossip messages. */
-import { computePeerInterval } from './gossipInterval.js';
+import { computeHeartbeatInterval, computePeerInterval } from './gossipInterval.js';
+import type { HeartbeatMessage } from './peerMessage.js';
 import type { PeerState } from './peerState.js';
 
 /** Messages arrive several times per second; a peer without one for this long is not offered to callers. */
@@ -38,12 +39,26 @@
 		return known?.state;
 	}
 
+	/**
+	 * Records a sign of life of a peer. A heartbeat of a start that is not known says nothing: its state is yet to come.
+	 * @returns whether the peer started or stopped to serve since its last message
+	 */
+	public recordHeartbeat({ name, incarnation, isServing }: HeartbeatMessage, nowMs: number): boolean {
+		const peer = this.peers.get(name);
+		if (peer?.state.instance.incarnation !== incarnation) {
+			return false;
+		}
+		const isChanged = peer.state.isServing !== isServing;
+		peer.receivedAtMs = nowMs;
+		peer.state = isChanged ? { ...peer.state, isServing } : peer.state;
+		return isChanged;
+	}
+
 	/** Removes the peers whose messages have stopped. Returns their last states. */
 	public expire(nowMs: number): readonly PeerState[] {
 		const expired: PeerState[] = [];
-		const expiryMs = Math.max(EXPIRY_MS, EXPIRY_INTERVALS * computePeerInterval(this.peers.size));
 		for (const [name, { state, receivedAtMs }] of this.peers) {
-			if (nowMs - receivedAtMs > expiryMs) {
+			if (nowMs - receivedAtMs > Math.max(EXPIRY_MS, EXPIRY_INTERVALS * this.computeInterval(state))) {
 				this.peers.delete(name);
 				expired.push(state);
 			}
@@ -57,9 +72,8 @@
 
 	/** Lists the peers to which callers may be directed. */
 	public listServing(nowMs: number): readonly PeerState[] {
-		const livenessTimeoutMs = this.computeLivenessTimeout();
 		return [...this.peers.values()]
-			.filter(({ state, receivedAtMs }) => state.isServing && nowMs - receivedAtMs <= livenessTimeoutMs)
+			.filter((peer) => peer.state.isServing && this.isLive(peer, nowMs))
 			.map(({ state }) => state);
 	}
 
@@ -101,15 +115,22 @@
 		return this.countLiveBefore(nowMs, () => true);
 	}
 
-	private computeLivenessTimeout(): number {
-		return Math.max(LIVENESS_TIMEOUT_MS, LIVENESS_TIMEOUT_INTERVALS * computePeerInterval(this.peers.size));
+	private isLive({ state, receivedAtMs }: Peer, nowMs: number): boolean {
+		const timeoutMs = Math.max(LIVENESS_TIMEOUT_MS, LIVENESS_TIMEOUT_INTERVALS * this.computeInterval(state));
+		return nowMs - receivedAtMs <= timeoutMs;
+	}
+
+	/** Expected time between two messages of a peer, in ms. */
+	private computeInterval({ sendsHeartbeats }: PeerState): number {
+		return sendsHeartbeats === true
+			? computeHeartbeatInterval(this.peers.size)
+			: computePeerInterval(this.peers.size);
 	}
 
 	private countLiveBefore(nowMs: number, isMatch: (state: PeerState) => boolean): number {
-		const livenessTimeoutMs = this.computeLivenessTimeout();
 		let count = 0;
-		for (const [name, { state, receivedAtMs }] of this.peers) {
-			if (nowMs - receivedAtMs <= livenessTimeoutMs && name < this.ownName && isMatch(state)) {
+		for (const [name, peer] of this.peers) {
+			if (name < this.ownName && isMatch(peer.state) && this.isLive(peer, nowMs)) {
 				count += 1;
 			}
 		}
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -3,8 +3,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { sampleAddresses, splitAddress } from '../common/addresses.js';
 import type { EventLog } from '../common/eventLog.js';
-import { GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
+import { countHeartbeatGroups, GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
 import type { MetadataStore } from '../common/metadataStore.js';
+import type { HeartbeatMessage } from '../common/peerMessage.js';
+import { encodePeerMessage } from '../common/peerMessage.js';
 import type { FleetInstance, GatewayState, PeerState } from '../common/peerState.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import { PeerTable } from '../common/peerTable.js';
@@ -140,7 +142,16 @@
 			}
 		}
 		addresses.delete(this.parts.self.controlAddress);
-		this.transport.send(state, [...addresses], this.listCompressedAddresses());
+		const due = this.transport.send(state, [...addresses], this.listCompressedAddresses());
+		this.sendHeartbeats(state, new Set(due));
+	}
+
+	/** Handles a sign of life of a peer between its states. */
+	public handleHeartbeat(heartbeat: HeartbeatMessage): void {
+		if (this.peers.recordHeartbeat(heartbeat, performance.now())) {
+			const { name, incarnation, isServing } = heartbeat;
+			this.parts.log.write('state', 'peerChanged', { peer: name, incarnation, isServing });
+		}
 	}
 
 	public sendMessage(message: Buffer, controlAddress: string): void {
@@ -162,6 +173,20 @@
 		return peer?.incarnation === incarnation && splitAddress(peer.controlAddress).host === address;
 	}
 
+	/** Only instances that send heartbeats themselves read them. */
+	private sendHeartbeats({ instance, isServing }: PeerState, due: ReadonlySet<string>): void {
+		if (due.size === 0) {
+			return;
+		}
+		const { name, incarnation } = instance;
+		const message = encodePeerMessage({ kind: 'heartbeat', name, incarnation, isServing });
+		for (const { instance: peer, sendsHeartbeats } of this.peers.listAll()) {
+			if (sendsHeartbeats === true && due.has(peer.controlAddress)) {
+				this.transport.sendMessage(message, peer.controlAddress);
+			}
+		}
+	}
+
 	private listCompressedAddresses(): ReadonlySet<string> {
 		const peers = this.peers.listAll().filter(({ acceptsCompressed }) => acceptsCompressed === true);
 		return new Set(peers.map(({ instance }) => instance.controlAddress));
@@ -176,6 +201,7 @@
 		return {
 			...this.parts.describeSelf(),
 			acceptsCompressed: true,
+			...(countHeartbeatGroups(this.peers.listAll().length) > 0 ? { sendsHeartbeats: true } : {}),
 			instance: this.parts.self,
 			known: sampleAddresses(known, MAX_GOSSIPED_ADDRESSES, Math.random()),
 		};
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -491,6 +491,9 @@
 					bytes: bytes.length,
 				});
 				return;
+			case 'heartbeat':
+				this.membership.handleHeartbeat(message);
+				return;
 			case 'rejection':
 				this.brittlenessSync.adopt(message, performance.now());
 				return;
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -56,6 +56,7 @@
 		typeof state.targetsRevision === 'number' &&
 		(state.storeEra === undefined || Number.isSafeInteger(state.storeEra)) &&
 		(state.hasTargetPath === undefined || typeof state.hasTargetPath === 'boolean') &&
+		(state.sendsHeartbeats === undefined || typeof state.sendsHeartbeats === 'boolean') &&
 		isOptionalList(state.leaving, isTargetStart) &&
 		isOptionalList(state.removed, isTargetStart) &&
 		isOptionalList(state.promptDeaths, isPartDeathReport) &&
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Disposable } from '@papayawell/core';
 import { splitAddress } from '../common/addresses.js';
-import { GOSSIP_FAN_OUT } from '../common/gossipInterval.js';
+import { GOSSIP_FAN_OUT, selectRecipients } from '../common/gossipInterval.js';
 import type { PeerState } from '../common/peerState.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import { readRelayHeaders } from '../common/relayHeaders.js';
@@ -88,21 +88,29 @@
 	/**
 	 * Sends a state to the given control addresses; in a large fleet, to as many of them as the fan-out allows.
 	 * @param compressedAddresses addresses of the instances that read compressed states
+	 * @returns addresses that are due for a heartbeat in place of the state
 	 */
 	public send(
 		state: PeerState,
 		addresses: readonly string[],
 		compressedAddresses: ReadonlySet<string> = new Set(),
-	): void {
+	): readonly string[] {
 		const plain = encodePeerState(state);
 		const compressed = compressedAddresses.size > 0 ? encodeCompressed(plain) : plain;
 		if (plain.length > MAX_DATAGRAM_BYTES) {
 			this.options.onError(`state not sent: ${plain.length} bytes exceed the limit of ${MAX_DATAGRAM_BYTES}`);
-			return;
+			return [];
+		}
+		const start = addresses.length <= GOSSIP_FAN_OUT ? 0 : this.nextRecipient % addresses.length;
+		const { states, heartbeats } = selectRecipients(addresses, start);
+		if (addresses.length > GOSSIP_FAN_OUT) {
+			// In a large fleet each round continues with the addresses after those of the last one.
+			this.nextRecipient = start + GOSSIP_FAN_OUT;
 		}
-		for (const address of this.selectRecipients(addresses)) {
+		for (const address of states) {
 			this.sendDatagram(compressedAddresses.has(address) ? compressed : plain, address);
 		}
+		return heartbeats;
 	}
 
 	/** Sends a message to one instance, once; it may get lost. */
@@ -150,16 +158,6 @@
 		});
 	}
 
-	/** In a large fleet each round continues with the addresses after those of the last one. */
-	private selectRecipients(addresses: readonly string[]): readonly string[] {
-		if (addresses.length <= GOSSIP_FAN_OUT) {
-			return addresses;
-		}
-		const start = this.nextRecipient % addresses.length;
-		this.nextRecipient = start + GOSSIP_FAN_OUT;
-		return [...addresses.slice(start), ...addresses.slice(0, start)].slice(0, GOSSIP_FAN_OUT);
-	}
-
 	private handleDatagram(bytes: Buffer): void {
 		let state: PeerState;
 		try {
--- a/packages/gateway/test/common/peerMessage.test.ts
+++ b/packages/gateway/test/common/peerMessage.test.ts
@@ -8,6 +8,7 @@
 		{ kind: 'query', query: 3, attemptId: 'a', service: 'engines' },
 		{ kind: 'reply', query: 3, origin: null, opinion: { kind: 'sole', version: 'v1' } },
 		{ kind: 'rejection', target: 'i-1', startedAtMs: 7, rejectionsPerSecond: 2.5 },
+		{ kind: 'heartbeat', name: 'a', incarnation: '1', isServing: true },
 		{ kind: 'reply', query: 3, origin: ['a', 'engines', 'v1', 5], opinion: { kind: 'several' } },
 	];
 
@@ -27,6 +28,7 @@
 		'{"kind":"reply","query":3,"origin":null,"opinion":{"kind":"sole"}}',
 		'{"kind":"rejection","target":"i-1","startedAtMs":1.5,"rejectionsPerSecond":2}',
 		'{"kind":"rejection","target":"i-1","startedAtMs":1}',
+		'{"kind":"heartbeat","name":"a","incarnation":"1"}',
 		'{"kind":"other"}',
 	]) {
 		it(`are rejected if they are malformed: ${text}`, () => {
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -1,4 +1,9 @@
 import { expect } from 'chai';
+import {
+	countHeartbeatGroups,
+	GOSSIP_INTERVAL_MS,
+	selectRecipients,
+} from '../../src/common/gossipInterval.js';
 import type { PeerState } from '../../src/common/peerState.js';
 import { PeerTable } from '../../src/common/peerTable.js';
 
@@ -62,6 +67,62 @@
 		expect(table.isRegistrar(2000)).to.equal(true);
 	});
 
+	/**
+	 * Models what one instance receives: each peer gossips to all instances in turn, one datagram in 20 is lost, and half
+	 * of the peers are killed. Returns how long killed ones were listed, and the smallest share of living ones listed.
+	 */
+	function measureListing(instances: number): { readonly listedMs: number; readonly livingShare: number } {
+		const table = new PeerTable('self');
+		const addresses = ['self', ...Array.from({ length: instances - 2 }, (_, index) => `other-${index}`)];
+		const sendsHeartbeats = countHeartbeatGroups(instances - 1) > 0;
+		const peers = Array.from({ length: instances - 1 }, (_, index) => {
+			const state = { ...makeState(`p-${index}`), sendsHeartbeats, known: addresses };
+			table.update(state, 0);
+			return { state, start: index, phase: (index * 37) % GOSSIP_INTERVAL_MS };
+		});
+		const isKilled = ({ instance: { name } }: PeerState): boolean => Number(name.slice(2)) % 2 === 0;
+		const killedAtMs = 20_000;
+		let [lastListedMs, livingShare, datagrams] = [0, 1, 0];
+		for (let nowMs = 0; nowMs < killedAtMs + 10_000; nowMs += 10) {
+			for (const peer of peers.filter(({ phase }) => nowMs % GOSSIP_INTERVAL_MS === phase - (phase % 10))) {
+				const { states, heartbeats } = selectRecipients(addresses, peer.start);
+				peer.start = (peer.start + states.length) % addresses.length;
+				const isDelivered = (nowMs < killedAtMs || !isKilled(peer.state)) && ++datagrams % 20 !== 0;
+				if (isDelivered && states.includes('self')) {
+					table.update(peer.state, nowMs);
+				} else if (isDelivered && heartbeats.includes('self')) {
+					table.recordHeartbeat({ kind: 'heartbeat', ...peer.state.instance, isServing: true }, nowMs);
+				}
+			}
+			if (nowMs % 100 === 0) {
+				table.expire(nowMs);
+				const listed = table.listServing(nowMs);
+				const living = listed.filter((state) => !isKilled(state)).length;
+				livingShare = Math.min(livingShare, living / peers.filter(({ state }) => !isKilled(state)).length);
+				lastListedMs = listed.some(isKilled) ? nowMs : lastListedMs;
+			}
+		}
+		return { listedMs: lastListedMs - killedAtMs, livingShare };
+	}
+
+	for (const instances of [4, 32, 79, 323]) {
+		// Callers are sent to a dead instance: with 323 instances it was listed for 10.5 s, where 7 s are allowed.
+		it(`fleet of ${instances}: killed instances leave the directory within 4 s, and living ones stay`, () => {
+			const { listedMs, livingShare } = measureListing(instances);
+			expect(listedMs).to.be.within(0, 4000);
+			expect(livingShare).to.be.greaterThan(0.9);
+		}).timeout(60_000);
+	}
+
+	it('a heartbeat of an unknown start is no sign of life, and one that no longer serves is not listed', () => {
+		const table = new PeerTable('b');
+		table.update(makeState('a'), 0);
+		table.recordHeartbeat({ kind: 'heartbeat', name: 'a', incarnation: '2', isServing: true }, 1400);
+		expect(table.listServing(1600)).to.have.lengthOf(0);
+		table.recordHeartbeat({ kind: 'heartbeat', name: 'a', incarnation: '1', isServing: false }, 1600);
+		expect(table.listServing(1600)).to.have.lengthOf(0);
+	});
+
 	it('retains the number of instances that share the common limits when some expire', () => {
 		const table = new PeerTable('b');
 		table.update(makeState('a'), 0);
