Limit the requests of all instances to targets that are cold

Cause: a target that has just started handles few requests per second and crashes well above that; nothing limited what the fleet sends to it. Change: with bounds.cold-excess and bounds.cold-extra set, targets of services with cold-s and cold-per-s are treated as cold by what they, their entries or peers state, and after a new start, a failed connection or the return of a zone. What a cold target handles is divided in whole requests per second among the instances that were ever heard of, by rendezvous hashing; a share can only fall as an instance learns of more others. Measured: the model of returning targets with 4, 28, 79 and 323 instances, split, restarted and out of touch: 24 cases pass at 24.5 requests in any second.

--- a/packages/gateway/src/common/gatewayConfiguration.ts
+++ b/packages/gateway/src/common/gatewayConfiguration.ts
@@ -1,5 +1,7 @@
 /** The configuration of the gateway: routes, services, customers and limits on callers' requests. */
 
+import type { ColdStart } from './targetColdness.js';
+
 /** Whether a request may run more than once, and whether its response is a stream. */
 export const RequestKind = {
 	Idempotent: 'idempotent',
@@ -45,6 +47,8 @@
 	readonly kvCacheTokens: number | undefined;
 	/** Whether its engines can fetch cached prompts from one another. */
 	readonly hasCacheTransfer: boolean;
+	/** How its targets start; undefined if they are never cold. */
+	readonly coldStart?: ColdStart;
 }
 
 export interface CallerLimits {
--- a/packages/gateway/src/common/gatewayRequest.ts
+++ b/packages/gateway/src/common/gatewayRequest.ts
@@ -72,6 +72,8 @@
 	 * it says that it is brittle.
 	 */
 	readonly brittleness: string | undefined;
+	/** Time for which the target stays cold in ms, unparsed; undefined if it does not tell. */
+	readonly coldTime: string | undefined;
 	/** Running requests, waiting requests and slots of the target, unparsed; undefined if it does not tell. */
 	readonly load: string | undefined;
 	/** Stated time in seconds, unparsed, in which the target wants no further request; undefined if it states none. */
--- a/packages/gateway/src/common/peerMessage.ts
+++ b/packages/gateway/src/common/peerMessage.ts
@@ -13,7 +13,17 @@
 	readonly rejectionsPerSecond: number;
 }
 
-export type PeerMessage = StreamOriginMessage | RejectionMessage;
+/** Tells that a target has stated that it is cold. */
+export interface ColdTargetMessage {
+	readonly kind: 'cold';
+	readonly target: string;
+	/** Start of the target's process in epoch ms. */
+	readonly startedAtMs: number;
+	/** Time for which the target stays cold, in ms. */
+	readonly leftMs: number;
+}
+
+export type PeerMessage = StreamOriginMessage | RejectionMessage | ColdTargetMessage;
 
 /** Messages by which instances tell and ask one another of the origins of streams. */
 export type StreamOriginMessage =
@@ -71,6 +81,13 @@
 				Number.isSafeInteger(message.startedAtMs) &&
 				typeof message.rejectionsPerSecond === 'number'
 			);
+		case 'cold':
+			return (
+				typeof message.target === 'string' &&
+				Number.isSafeInteger(message.startedAtMs) &&
+				Number.isSafeInteger(message.leftMs) &&
+				Number(message.leftMs) >= 0
+			);
 		default:
 			return false;
 	}
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -63,6 +63,12 @@
 	readonly promptAnswers?: readonly PartAnswerReport[];
 	/** What targets said of their limits; undefined from instances of an older version. */
 	readonly targetLimits?: readonly TargetLimitReport[];
+	/**
+	 * Targets that this instance treats as cold; undefined if it does not know that of all targets, or treats none as cold.
+	 */
+	readonly coldTargets?: readonly ColdTargetReport[] | undefined;
+	/** Number of instances, including this one, among which it divides what cold targets can handle. */
+	readonly rosterSize?: number | undefined;
 	/** Prompts recently sent to engines that did not have all their shared parts cached. */
 	readonly prompts: readonly PromptUpdate[];
 	/** Total tokens of the shared prompt parts that this instance knows to be cached by engines. */
@@ -90,6 +96,12 @@
 	ageMs: number,
 ];
 
+/**
+ * One start of a target, the time in ms for which it stays cold, and 1 if the target or its entry stated that to the
+ * sender; 0 if the sender assumes it, or heard it from another instance.
+ */
+export type ColdTargetReport = readonly [id: string, startedAtMs: number, leftMs: number, isStated: 0 | 1];
+
 export interface PromptUpdate {
 	readonly target: string;
 	/** Alternating hash and token count of each shared part. */
--- a/packages/gateway/src/common/requestLimitShare.ts
+++ b/packages/gateway/src/common/requestLimitShare.ts
@@ -30,10 +30,15 @@
 	others: readonly LimitUser[],
 ): number {
 	const users = Math.min(others.length + 1, Math.floor(requestsPerSecond) + EXTRA_INSTANCES);
+	return findUserRank(targetHash, self, others) < users ? requestsPerSecond / users : 0;
+}
+
+/** Returns the rank of an instance among those that may use a target, by rendezvous hashing; 0 is the first. */
+export function findUserRank(targetHash: number, self: LimitUser, others: readonly LimitUser[]): number {
 	const ownScore = hashPair(targetHash, self.nameHash);
 	const ahead = others.filter(({ name, nameHash }) => {
 		const score = hashPair(targetHash, nameHash);
 		return score > ownScore || (score === ownScore && name < self.name);
 	});
-	return ahead.length < users ? requestsPerSecond / users : 0;
+	return ahead.length;
 }
--- /dev/null
+++ b/packages/gateway/src/common/targetColdness.ts
@@ -0,0 +1,161 @@
+/**
+ * Keeps whether a target is cold, or may be, and limits the requests of this instance to it while it is. A target that
+ * has just started handles few requests per second, and crashes if it gets many more.
+ */
+
+/** How the targets of a service start, and what this instance may send to one of them in the meantime. */
+export interface ColdStart {
+	/** Time for which a target is cold after its start. */
+	readonly durationMs: number;
+	/** Requests per second that a cold target can handle. */
+	readonly requestsPerSecond: number;
+}
+
+/** Requests count together if they are sent and arrive within this time. */
+const WINDOW_MS = 1000;
+/** By how much a request may leave later than it was counted, for example while its connection is opened. */
+const SEND_DELAY_MS = 50;
+/** Longest remaining time that a target can state, so that a faulty statement does not limit it for good. */
+const MAX_STATED_MS = 60_000;
+/** Limit of the recorded sends, and so of a share. */
+const MAX_RECORDED_SENDS = 200;
+
+/** Why a target that states nothing is treated as cold: its start is new in the list, or it was out of use. */
+export type ColdnessCause = 'listed' | 'regained';
+
+export class TargetColdness {
+	/** Whether the target was listed when this instance read its first list, so that peers may know more of it. */
+	public isFromFirstList = false;
+	/** Whether the target has stated a remaining time that cannot be read, so that this is logged once. */
+	public hasInvalidStatement = false;
+	/** Whether it was logged that the target is cold. */
+	public isLoggedCold = false;
+	private coldStart: ColdStart | undefined;
+	private statedUntilMs = -Infinity;
+	private isStatedToSelf = false;
+	/** When the target was last assumed to be cold without a statement. */
+	private assumedAtMs = -Infinity;
+	private cause: ColdnessCause = 'listed';
+	private ownShare = 0;
+	private isUnreachable = false;
+	/** Times of the latest requests of this instance, the oldest first. */
+	private sentAtMs: number[] = [];
+
+	/** The cold start of the target's service; undefined if its targets are never cold. */
+	public get definition(): ColdStart | undefined {
+		return this.coldStart;
+	}
+
+	/** Requests that this instance may send to the target in any second while it is cold. */
+	public get share(): number {
+		return this.ownShare;
+	}
+
+	/**
+	 * @param coldStart the cold start of the target's service; undefined if its targets are never cold
+	 * @param share requests that this instance may send to the target in any second while it is cold
+	 */
+	public updateDefinition(coldStart: ColdStart | undefined, share: number): void {
+		this.coldStart = coldStart;
+		this.ownShare = Math.min(MAX_RECORDED_SENDS, share);
+	}
+
+	/** Treats the target as cold for as long as a start takes, unless it states something else. */
+	public recordAssumption(cause: ColdnessCause, nowMs: number): void {
+		this.assumedAtMs = nowMs;
+		this.cause = cause;
+	}
+
+	/** Ends the assumption that a target is cold because it is new in the list. */
+	public clearListedAssumption(): void {
+		if (this.cause === 'listed') {
+			this.assumedAtMs = -Infinity;
+		}
+	}
+
+	/** Records how long the target stays cold, as it states in an answer to this instance. */
+	public recordStatement(leftMs: number, nowMs: number): void {
+		this.assumedAtMs = -Infinity;
+		this.statedUntilMs = nowMs + Math.min(MAX_STATED_MS, leftMs);
+		this.isStatedToSelf = leftMs > 0;
+	}
+
+	/**
+	 * Records how long the target stays cold, as its entry states. The entry may have been written before the target was
+	 * lost and regained, or before a longer time was stated in an answer.
+	 */
+	public recordListed(leftMs: number, nowMs: number): void {
+		this.clearListedAssumption();
+		if (leftMs > 0) {
+			this.statedUntilMs = Math.max(this.statedUntilMs, nowMs + Math.min(MAX_STATED_MS, leftMs));
+			this.isStatedToSelf = true;
+		}
+	}
+
+	/** Records how long the target stays cold as a peer knows it. It only extends what is known here. */
+	public adopt(leftMs: number, nowMs: number): void {
+		const untilMs = nowMs + Math.min(MAX_STATED_MS, leftMs);
+		if (untilMs > this.statedUntilMs) {
+			this.statedUntilMs = untilMs;
+			this.isStatedToSelf = false;
+		}
+	}
+
+	/** Records that no connection to the target could be opened: it may restart. */
+	public recordUnreachable(): void {
+		this.isUnreachable = true;
+	}
+
+	/** Records that the target has sent something. */
+	public recordContact(nowMs: number): void {
+		if (this.isUnreachable) {
+			this.isUnreachable = false;
+			this.recordAssumption('regained', nowMs);
+		}
+	}
+
+	/** Records a request of this instance. Those sent before the target turned cold count in the same second. */
+	public recordSent(nowMs: number): void {
+		if (this.coldStart !== undefined) {
+			this.sentAtMs.push(nowMs);
+			if (this.sentAtMs.length > MAX_RECORDED_SENDS) {
+				this.sentAtMs.shift();
+			}
+		}
+	}
+
+	/** Takes over the requests to an earlier start of the target: some of them may have reached the new one. */
+	public copySends({ sentAtMs }: TargetColdness): void {
+		this.sentAtMs = [...sentAtMs];
+	}
+
+	/** Returns the time for which the target is, or may be, cold, in ms. It is limited for longer while unreachable. */
+	public computeRemaining(nowMs: number): number {
+		if (this.coldStart === undefined) {
+			return 0;
+		}
+		const assumedSinceMs = this.isUnreachable ? nowMs : this.assumedAtMs;
+		return Math.max(0, this.statedUntilMs - nowMs, assumedSinceMs + this.coldStart.durationMs - nowMs);
+	}
+
+	/** Whether the target itself, or its entry, stated to this instance that it is cold now. */
+	public isStatedCold(nowMs: number): boolean {
+		return this.isStatedToSelf && this.coldStart !== undefined && this.statedUntilMs > nowMs;
+	}
+
+	/** Returns the time until a request may be sent, in ms; 0 if one may be sent now, infinity without a share. */
+	public computeDelay(nowMs: number): number {
+		const remainingMs = this.computeRemaining(nowMs);
+		if (remainingMs === 0) {
+			return 0;
+		}
+		if (this.ownShare === 0) {
+			return Infinity;
+		}
+		const oldestMs = this.sentAtMs.at(-this.ownShare);
+		if (oldestMs === undefined) {
+			return 0;
+		}
+		return Math.min(remainingMs, Math.max(0, oldestMs + WINDOW_MS + SEND_DELAY_MS - nowMs));
+	}
+}
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -6,6 +6,7 @@
 import { PrefixCacheIndex } from './prefixCacheIndex.js';
 import { UNRESPONSIVE_AFTER_MS, TargetHealth } from './targetHealth.js';
 import { TargetBrittleness } from './targetBrittleness.js';
+import { TargetColdness } from './targetColdness.js';
 import type { TargetRecord } from './targetRecord.js';
 import { TargetRequestLimit } from './targetRequestLimit.js';
 
@@ -20,6 +21,7 @@
 	public readonly prefixCache = new PrefixCacheIndex();
 	public readonly requestLimit = new TargetRequestLimit();
 	public readonly brittleness: TargetBrittleness;
+	public readonly coldness = new TargetColdness();
 	/** Whether the target has said something of its brittleness that cannot be read, so that this is logged once. */
 	public hasInvalidBrittleness = false;
 	/** Requests of this instance in flight on the target. */
@@ -53,6 +55,7 @@
 		this.firstByteDueAtMs = Math.max(this.firstByteDueAtMs, nowMs + firstByteTimeMs + UNRESPONSIVE_AFTER_MS);
 		this.ownRequests += 1;
 		this.requestLimit.consume(nowMs);
+		this.coldness.recordSent(nowMs);
 	}
 
 	public recordRequestEnded(): void {
@@ -71,7 +74,7 @@
 
 	/**
 	 * Returns the time for which the target wants no request of this instance, in ms: until its back-off is over, its limit
-	 * allows for a request, and it may have room if it is brittle. 0 if it takes requests, infinity if that may change at
+	 * allows for a request, it may have room if it is brittle, and this instance has a share left if it is cold. 0 if it takes requests, infinity if that may change at
 	 * any time or never.
 	 */
 	public computePause(nowMs: number): number {
@@ -80,11 +83,13 @@
 			this.backOffUntilMs - nowMs,
 			this.requestLimit.computeDelay(nowMs),
 			this.brittleness.computeDelay(this.ownRequests, nowMs),
+			this.coldness.computeDelay(nowMs),
 		);
 	}
 
 	public recordActivity(nowMs: number): void {
 		this.lastActivityMs = nowMs;
+		this.coldness.recordContact(nowMs);
 	}
 
 	public recordTimeToHead(elapsedMs: number, nowMs: number): void {
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -83,6 +83,9 @@
 			} else {
 				const state = new TargetState(record);
 				state.brittleness.state(this.findBrittleness(record.service));
+				if (known !== undefined) {
+					state.coldness.copySends(known.coldness);
+				}
 				this.states.set(record.id, state);
 			}
 		}
@@ -110,6 +113,15 @@
 		}
 	}
 
+	/** Records that the targets of an availability zone are taken back into service; they may be cold. */
+	public recordZoneReturn(zone: string, nowMs: number): void {
+		for (const { record, coldness } of this.states.values()) {
+			if (record.zone === zone) {
+				coldness.recordAssumption('regained', nowMs);
+			}
+		}
+	}
+
 	/** Whether a target fails clearly more often than the mean of its service. */
 	public hasAboveAverageFailureRate(target: TargetState): boolean {
 		const states = this.byService.get(target.record.service) ?? [];
--- a/packages/gateway/src/common/targetView.ts
+++ b/packages/gateway/src/common/targetView.ts
@@ -26,6 +26,21 @@
 /** A list of targets, with the position of the store at which it was read. */
 export interface ListedTargets extends StorePosition {
 	readonly targets: readonly TargetRecord[];
+	/**
+	 * What entries state of the time for which targets stay cold; only in a list that is read from the store. It is not
+	 * part of the records, since it counts down and equal lists must have equal digests.
+	 */
+	readonly coldness?: readonly ListedColdness[];
+}
+
+/** For how long a target stays cold, as its entry states it. */
+export interface ListedColdness {
+	readonly id: string;
+	readonly startedAtMs: number;
+	/** In ms from the time at which the store was read. */
+	readonly leftMs: number;
+	/** Revision of the store at which the entry was written. */
+	readonly revision: number;
 }
 
 export interface TargetListChange {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,7 +12,7 @@
 export type { FleetInstance } from './common/peerState.js';
 export { RELAY_HEADERS } from './common/relayHeaders.js';
 export type { TargetRecord } from './common/targetRecord.js';
-export type { ListedTargets } from './common/targetView.js';
+export type { ListedColdness, ListedTargets } from './common/targetView.js';
 export type { Gateway, GatewayDependencies, GatewaySettings } from './node/gateway.js';
 export { createGateway } from './node/gateway.js';
 export { listenAt } from './node/listenAt.js';
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -330,6 +330,9 @@
 		if (!attempt.isRelayed && isPathFailure(failure)) {
 			this.placement.recordPathFailure();
 		}
+		if (failure === 'unreachable') {
+			attempt.target.coldness.recordUnreachable();
+		}
 		switch (failure) {
 			case 'unreachable':
 			case 'silent':
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -2,11 +2,13 @@
 import type { Disposable } from '@papayawell/core';
 import { DisposableStore, toDisposable } from '@papayawell/core';
 import { ActiveConfiguration } from '../common/activeConfiguration.js';
+import type { ColdTargetBounds } from '../common/coldTargetShare.js';
 import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, PeerState } from '../common/peerState.js';
+import type { PeerMessage } from '../common/peerMessage.js';
 import { decodePeerMessage, encodePeerMessage } from '../common/peerMessage.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
@@ -20,6 +22,7 @@
 import { BlockedPromptsSync } from './blockedPromptsSync.js';
 import { BrittlenessSync } from './brittlenessSync.js';
 import { CallerServer } from './callerServer.js';
+import { ColdTargetSync } from './coldTargetSync.js';
 import { ConfigurationSync } from './configurationSync.js';
 import { CrashTracker } from './crashTracker.js';
 import { FleetMembership } from './fleetMembership.js';
@@ -49,6 +52,8 @@
 	readonly graceMs: number;
 	/** Whether the whole fleet starts for the first time, so that no peer knows more than the store. */
 	readonly isFirstStart: boolean;
+	/** Bounds for cold targets; undefined if no target is treated as cold. */
+	readonly coldTargets?: ColdTargetBounds | undefined;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
 }
@@ -95,6 +100,7 @@
 	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
 	private readonly brittlenessSync: BrittlenessSync;
+	private readonly coldTargetSync: ColdTargetSync;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -120,6 +126,7 @@
 			configurationVersion: this.activeConfiguration.version,
 			targetsAgeMs: this.view.computeAge(performance.now()),
 			peers: this.membership.peers.listAll().length,
+			coldTargets: this.coldTargetSync.coldTargets,
 			droppedLogLines: dependencies.readDroppedLogLines(),
 		}));
 		this.client = new TargetClient({
@@ -144,6 +151,9 @@
 			onBrittlenessStated: (target, text, isRejection) => {
 				this.brittlenessSync.recordStatement(target, text, isRejection, performance.now());
 			},
+			onColdnessStated: (target, text) => {
+				this.coldTargetSync.recordStatement(target, text, performance.now());
+			},
 			onBackOffRequested: ({ record }, request) => {
 				this.metrics.countDecision('targetBackOff');
 				log.write('decision', 'targetBackOff', { target: record.id, ...request });
@@ -168,13 +178,27 @@
 			targets: this.targets,
 			log,
 			broadcast: (message) => {
-				for (const { instance } of this.membership.peers.listAll()) {
-					this.membership.sendMessage(encodePeerMessage(message), instance.controlAddress);
-				}
+				this.sendToAll(message);
 			},
 			countInstances: () => this.membership.peers.countInstances(performance.now()),
 			countHeard: () => this.membership.peers.listAll().length + 1,
 		});
+		this.coldTargetSync = new ColdTargetSync({
+			targets: this.targets,
+			log,
+			ownName: settings.self.name,
+			bounds: settings.coldTargets,
+			isFirstStart: settings.isFirstStart,
+			getService: (service) => this.activeConfiguration.current?.configuration.services.get(service),
+			listPeers: () => this.membership.peers.listAll(),
+			broadcast: (message) => {
+				this.sendToAll(message);
+			},
+			readTargetsDigest: () => this.view.digest,
+			onDidTurnCold: () => {
+				this.metrics.countDecision('targetCold');
+			},
+		});
 		this.streamOriginSync = new StreamOriginSync({
 			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
 			send: (controlAddress, message) => {
@@ -286,6 +310,9 @@
 			onDidChange: (change, source) => {
 				this.handleTargetChange(change, source);
 			},
+			onColdnessListed: (coldness) => {
+				this.coldTargetSync.applyListed(coldness, performance.now());
+			},
 			fetchFromPeer: (address) => this.membership.fetch(address, '/targets'),
 		});
 		this.promptCacheSync = new PromptCacheSync({
@@ -313,6 +340,7 @@
 			promptCacheSync: this.promptCacheSync,
 			crashTracker: this.crashTracker,
 			requestLimitSync: this.requestLimitSync,
+			coldTargetSync: this.coldTargetSync,
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
@@ -338,6 +366,7 @@
 		this.activeConfiguration.onDidAdopt(({ snapshot, previousVersion, source }) => {
 			const { configuration } = snapshot;
 			this.server.setLimits(configuration.limits);
+			this.coldTargetSync.handleConfiguration();
 			this.dependencies.log.write('state', 'configurationAdopted', {
 				version: configuration.version,
 				previousVersion,
@@ -416,6 +445,7 @@
 		this.shutdown.tick(nowMs);
 		this.requestLimitSync.tick(nowMs);
 		this.brittlenessSync.tick();
+		this.coldTargetSync.tick(nowMs);
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.checkServing(nowMs);
@@ -466,6 +496,9 @@
 			case 'rejection':
 				this.brittlenessSync.adopt(message, performance.now());
 				return;
+			case 'cold':
+				this.coldTargetSync.adoptMessage(message, performance.now());
+				return;
 			case 'origins':
 			case 'query':
 			case 'reply':
@@ -488,6 +521,7 @@
 
 	private handleTargetChange(change: TargetListChange, source: TargetChangeSource): void {
 		this.targets.applyChange(change);
+		this.coldTargetSync.handleTargetChange(change, performance.now());
 		this.versionHistory.update(this.view.records, performance.now());
 		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
 			this.client.closePools(id);
@@ -498,6 +532,14 @@
 		this.checkServing(performance.now());
 	}
 
+	/** Sends a message to all other instances. */
+	private sendToAll(message: PeerMessage): void {
+		const bytes = encodePeerMessage(message);
+		for (const { instance } of this.membership.peers.listAll()) {
+			this.membership.sendMessage(bytes, instance.controlAddress);
+		}
+	}
+
 	private choosePeer(excluded: ReadonlySet<string>): TargetState | undefined {
 		const nowMs = performance.now();
 		const peers = this.membership.peers.listServingWithPath(nowMs).map(({ instance }) => instance);
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -10,6 +10,7 @@
 	readonly configurationVersion: number;
 	readonly targetsAgeMs: number;
 	readonly peers: number;
+	readonly coldTargets: number;
 	readonly droppedLogLines: number;
 }
 
@@ -124,6 +125,7 @@
 	);
 	add('papayawell_targets_age_seconds', 'Age of the list of targets.', (g) => g.targetsAgeMs / 1000);
 	add('papayawell_peers', 'Other instances heard of.', (g) => g.peers);
+	add('papayawell_cold_targets', 'Targets that are treated as cold.', (g) => g.coldTargets);
 	add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
 	return {
 		registry,
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -6,6 +6,7 @@
 import { encodeTargetList } from '../common/targetListDocument.js';
 import type { TargetTable } from '../common/targetTable.js';
 import type { TargetView } from '../common/targetView.js';
+import type { ColdTargetSync } from './coldTargetSync.js';
 import type { ConfigurationSync } from './configurationSync.js';
 import type { CrashTracker } from './crashTracker.js';
 import type { PromptCacheSync } from './promptCacheSync.js';
@@ -23,6 +24,7 @@
 	readonly promptCacheSync: PromptCacheSync;
 	readonly crashTracker: CrashTracker;
 	readonly requestLimitSync: RequestLimitSync;
+	readonly coldTargetSync: ColdTargetSync;
 	readonly isServing: () => boolean;
 	/** Whether this instance reaches targets itself. */
 	readonly hasTargetPath: () => boolean;
@@ -51,6 +53,8 @@
 			crashes: crashTracker.listCrashes(nowMs),
 			...crashTracker.describePromptParts(nowMs),
 			targetLimits: requestLimitSync.listReports(nowMs),
+			coldTargets: this.parts.coldTargetSync.listReports(nowMs),
+			rosterSize: this.parts.coldTargetSync.rosterSize,
 		};
 	}
 
@@ -88,6 +92,7 @@
 		promptCacheSync.handlePeerState(state, nowMs);
 		crashTracker.adoptPeerState(state, nowMs);
 		this.parts.requestLimitSync.adopt(state.targetLimits ?? [], nowMs);
+		this.parts.coldTargetSync.adoptPeerState(state, nowMs);
 	}
 
 	private listLoads(): readonly TargetLoad[] {
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -60,6 +60,8 @@
 		isOptionalList(state.promptDeaths, isPartDeathReport) &&
 		isOptionalList(state.promptAnswers, isPartAnswerReport) &&
 		isOptionalList(state.targetLimits, isTargetLimitReport) &&
+		isOptionalList(state.coldTargets, isColdTargetReport) &&
+		(state.rosterSize === undefined || Number.isSafeInteger(state.rosterSize)) &&
 		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
@@ -86,3 +88,13 @@
 		Number(value[3]) >= 0
 	);
 }
+
+function isColdTargetReport(value: unknown): boolean {
+	return (
+		Array.isArray(value) &&
+		isTargetStart(value) &&
+		Number.isSafeInteger(value[2]) &&
+		Number(value[2]) >= 0 &&
+		(value[3] === 0 || value[3] === 1)
+	);
+}
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -69,6 +69,11 @@
 	 * @param isRejection whether the target rejected the request, so that it has not run
 	 */
 	readonly onBrittlenessStated: (target: TargetState, text: string | undefined, isRejection: boolean) => void;
+	/**
+	 * Called when a target has responded.
+	 * @param text for how long it stays cold; undefined if it does not tell
+	 */
+	readonly onColdnessStated: (target: TargetState, text: string | undefined) => void;
 	/** Called when a target that rejects a request states, validly or not, for how long it wants no further one. */
 	readonly onBackOffRequested: (target: TargetState, request: BackOffRequest) => void;
 }
@@ -116,6 +121,7 @@
 			return Promise.resolve(undefined);
 		}
 		target.requestLimit.consume(performance.now());
+		target.coldness.recordSent(performance.now());
 		const limit = this.options.getConnectionLimit(service);
 		const connection = this.getPool(target).acquire(performance.now(), limit);
 		if (connection === undefined) {
@@ -216,7 +222,8 @@
 
 	/** Handles what the target says of itself. It applies to the start of the target that the request was sent to. */
 	private handleTargetState(status: number, facts: TargetResponseInfo, nowMs: number): void {
-		const { onBackOffRequested, onBrittlenessStated, onLimitStated, onTargetLeaving } = this.options;
+		const { onBackOffRequested, onBrittlenessStated, onColdnessStated, onLimitStated, onTargetLeaving } =
+			this.options;
 		if (facts.isLeaving) {
 			onTargetLeaving(this.target);
 		}
@@ -224,6 +231,7 @@
 			onLimitStated(this.target, facts.requestLimit);
 			const isRejection = facts.isNotRun && status === HTTP_SERVICE_UNAVAILABLE;
 			onBrittlenessStated(this.target, facts.brittleness, isRejection);
+			onColdnessStated(this.target, facts.coldTime);
 		}
 		if (status !== HTTP_SERVICE_UNAVAILABLE) {
 			return;
--- a/packages/gateway/src/node/targetListSync.ts
+++ b/packages/gateway/src/node/targetListSync.ts
@@ -11,7 +11,13 @@
 import type { StorePosition } from '../common/storePosition.js';
 import { decodeTargetList } from '../common/targetListDocument.js';
 import type { TargetRecord } from '../common/targetRecord.js';
-import type { ListedTargets, ListSource, TargetView, TargetListChange } from '../common/targetView.js';
+import type {
+	ListedColdness,
+	ListedTargets,
+	ListSource,
+	TargetView,
+	TargetListChange,
+} from '../common/targetView.js';
 import { isEmptyChange } from '../common/targetView.js';
 
 /** Age at which the first instance reads the list again. A third of the shortest time that a target drains, 2 s. */
@@ -41,6 +47,8 @@
 	readonly log: EventLog;
 	readonly readOwnRank: () => number;
 	readonly onDidChange: (change: TargetListChange, source: TargetChangeSource) => void;
+	/** Called after a list from the store was applied, with what its entries state of cold targets. */
+	readonly onColdnessListed: (coldness: readonly ListedColdness[]) => void;
 	/** Fetches the target list of a peer; undefined if the peer does not answer. */
 	readonly fetchFromPeer: (controlAddress: string) => Promise<string | undefined>;
 }
@@ -137,10 +145,11 @@
 		const { store } = this.parts;
 		const startedAtMs = performance.now();
 		try {
-			const list = await store.listTargets(this.abortController.signal);
+			const { coldness, ...list } = await store.listTargets(this.abortController.signal);
 			this.backoffMs = 0;
 			this.updateStoreStatus(undefined);
 			this.apply(list, 'store', startedAtMs);
+			this.parts.onColdnessListed(coldness ?? []);
 		} catch (error) {
 			if (error instanceof StoreError && error.kind === 'restored') {
 				// The store answers; the next tick reads the list of the new era.
--- /dev/null
+++ b/packages/gateway/test/model/coldTargets.test.ts
@@ -0,0 +1,251 @@
+/**
+ * A zone's targets are lost and return cold, under a demand far beyond what cold targets handle: the requests of all
+ * instances, whatever each knows of the others and of the targets, stay within what the deployment allows.
+ */
+import { expect } from 'chai';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { GOSSIP_FAN_OUT, GOSSIP_INTERVAL_MS } from '../../src/common/gossipInterval.js';
+import type { PeerState } from '../../src/common/peerState.js';
+import { PeerTable } from '../../src/common/peerTable.js';
+import type { TargetRecord } from '../../src/common/targetRecord.js';
+import { TargetTable } from '../../src/common/targetTable.js';
+import { ColdTargetSync } from '../../src/node/coldTargetSync.js';
+import { makeRecord } from '../common/fixtures.js';
+
+interface Load {
+	readonly instances: number;
+	/** Share of the instances that are cut off from the others; the rest hears only the rest. */
+	readonly cutShare?: number;
+	/** Whether those that are cut off hear one another. */
+	readonly isCutTogether?: boolean;
+	/** How often an instance is killed and starts again, knowing nothing; infinity for never. */
+	readonly restartIntervalMs?: number;
+}
+
+interface Outcome {
+	/** Most requests that any target got in any one second while it was cold. */
+	readonly busiest: number;
+	/** Mean requests per second that a cold target got. */
+	readonly mean: number;
+}
+
+const BOUNDS = { excess: 1.5, extra: 5 };
+const COLD_START = { durationMs: 3000, requestsPerSecond: 13 };
+const LIMIT = 24.5;
+const WINDOW_MS = 1000;
+const STEP_MS = 10;
+const CUT_AT_MS = 9000;
+/** The targets return several times, before and after the division is renewed in a larger part of the fleet. */
+const RETURNS_AT_MS = [11_000, 36_000];
+const DOWN_MS = 1500;
+const DURATION_MS = 40_000;
+const TARGETS = 4;
+const NETWORK_MS = 5;
+
+class ModelInstance {
+	public targets = new TargetTable('a');
+	public peers: PeerTable;
+	public sync: ColdTargetSync;
+	/** Difference of its clock from that of the model. */
+	public readonly clockMs: number;
+	public knownStart = 0;
+	private rounds = 0;
+
+	constructor(
+		private readonly fleet: ModelFleet,
+		public readonly index: number,
+		isFirstStart: boolean,
+		nowMs: number,
+	) {
+		this.clockMs = Math.floor(fleet.random() * 1e6);
+		this.peers = new PeerTable(this.name);
+		this.sync = new ColdTargetSync({
+			targets: this.targets,
+			log: { write: () => undefined },
+			ownName: this.name,
+			bounds: BOUNDS,
+			isFirstStart,
+			getService: () => ({
+				name: 'engines',
+				maxConnections: 800,
+				kvCacheTokens: 1,
+				hasCacheTransfer: false,
+				coldStart: COLD_START,
+			}),
+			listPeers: () => this.peers.listAll(),
+			broadcast: () => undefined,
+			readTargetsDigest: () => this.knownStart,
+			onDidTurnCold: () => undefined,
+		});
+		this.readList(nowMs);
+	}
+
+	public get name(): string {
+		return `edge-${this.index}`;
+	}
+
+	public readList(nowMs: number): void {
+		const { start } = this.fleet;
+		if (this.knownStart !== start) {
+			const records = makeRecords(start);
+			const isFirst = this.knownStart === 0;
+			this.knownStart = start;
+			const change = { added: isFirst ? records : [], changed: isFirst ? [] : records, removed: [] };
+			this.targets.applyChange(change);
+			this.sync.handleTargetChange(change, nowMs + this.clockMs);
+		}
+	}
+
+	public tick(nowMs: number): void {
+		this.peers.expire(nowMs + this.clockMs);
+		this.sync.tick(nowMs + this.clockMs);
+	}
+
+	/** Sends its state to the next peers in turn. */
+	public sendState(nowMs: number): void {
+		const { instances } = this.fleet;
+		const state = {
+			instance: { name: this.name },
+			isServing: true,
+			targetsDigest: this.knownStart,
+			coldTargets: this.sync.listReports(nowMs + this.clockMs),
+			rosterSize: this.sync.rosterSize,
+		} as unknown as PeerState;
+		const count = Math.min(GOSSIP_FAN_OUT, instances.length - 1);
+		for (let sent = 0; sent < count; sent++) {
+			const peer =
+				instances[
+					(this.index + 1 + ((this.rounds * count + sent) % (instances.length - 1))) % instances.length
+				];
+			if (peer !== undefined && this.fleet.isConnected(this.index, peer.index, nowMs)) {
+				const peerMs = nowMs + NETWORK_MS + peer.clockMs;
+				peer.peers.update(state, peerMs);
+				peer.sync.adoptPeerState(state, peerMs);
+			}
+		}
+		this.rounds += 1;
+	}
+}
+
+class ModelFleet {
+	public readonly instances: ModelInstance[] = [];
+	/** Start of the targets that run now. */
+	public start = 1;
+	public readonly random: () => number;
+	private readonly arrivedAtMs: number[][] = Array.from({ length: TARGETS }, () => []);
+
+	constructor(private readonly load: Load) {
+		const generator = xoroshiro128plus(load.instances);
+		this.random = () => uniformFloat64(generator);
+		for (let index = 0; index < load.instances; index++) {
+			this.instances.push(new ModelInstance(this, index, true, 0));
+		}
+	}
+
+	public isConnected(from: number, to: number, nowMs: number): boolean {
+		const { cutShare = 0, isCutTogether = false, instances } = this.load;
+		const isCut = (index: number): boolean => nowMs >= CUT_AT_MS && index < cutShare * instances;
+		return isCut(from) === isCut(to) && (isCutTogether || !isCut(from));
+	}
+
+	public run(): Outcome {
+		const { restartIntervalMs = Infinity } = this.load;
+		const returns = RETURNS_AT_MS.map(
+			(atMs) => [atMs - DOWN_MS, atMs, atMs + COLD_START.durationMs] as const,
+		);
+		for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
+			if (returns.some(([, atMs]) => atMs === nowMs)) {
+				this.start += 1;
+			}
+			if (nowMs % restartIntervalMs === restartIntervalMs - STEP_MS) {
+				const index = Math.floor(this.random() * this.instances.length);
+				this.instances[index] = new ModelInstance(this, index, false, nowMs);
+			}
+			this.advance(nowMs);
+			const isDown = returns.some(([downAtMs, atMs]) => nowMs >= downAtMs && nowMs < atMs);
+			const isCold = returns.some(([, atMs, untilMs]) => nowMs >= atMs && nowMs < untilMs);
+			if (isDown || isCold) {
+				this.send(nowMs, isDown);
+			}
+		}
+		const counts = this.arrivedAtMs.map((times) => times.length);
+		const coldS = (RETURNS_AT_MS.length * COLD_START.durationMs) / 1000;
+		return {
+			busiest: Math.max(...this.arrivedAtMs.map(findBusiestWindow)),
+			mean: counts.reduce((sum, count) => sum + count, 0) / (TARGETS * coldS),
+		};
+	}
+
+	private advance(nowMs: number): void {
+		for (const instance of this.instances) {
+			// Each instance reads and gossips at times of its own.
+			const turnMs = nowMs + instance.index * 70;
+			if (turnMs % GOSSIP_INTERVAL_MS < STEP_MS) {
+				instance.sendState(nowMs);
+				instance.tick(nowMs);
+			}
+			if (turnMs % 800 < STEP_MS) {
+				instance.readList(nowMs);
+			}
+		}
+	}
+
+	/** Each instance has a request for each target several times in a second. */
+	private send(nowMs: number, isDown: boolean): void {
+		for (const { targets, clockMs } of this.instances) {
+			for (const [index, times] of this.arrivedAtMs.entries()) {
+				const target = targets.find(`engine-${index}`);
+				if (this.random() >= 0.1 || target === undefined) {
+					continue;
+				}
+				if (isDown) {
+					target.coldness.recordUnreachable();
+				} else if (target.computePause(nowMs + clockMs) === 0) {
+					target.recordRequestSent(nowMs + clockMs, 0);
+					target.recordActivity(nowMs + clockMs);
+					times.push(nowMs);
+				}
+			}
+		}
+	}
+}
+
+function makeRecords(start: number): TargetRecord[] {
+	return Array.from({ length: TARGETS }, (_, index) => makeRecord(`engine-${index}`, { startedAtMs: start }));
+}
+
+function findBusiestWindow(times: readonly number[]): number {
+	let most = 0;
+	let first = 0;
+	for (const [last, atMs] of times.entries()) {
+		while ((times[first] ?? atMs) <= atMs - WINDOW_MS) {
+			first += 1;
+		}
+		most = Math.max(most, last - first + 1);
+	}
+	return most;
+}
+
+describe('targets of a zone that return cold under a demand far beyond what they handle', () => {
+	for (const instances of [4, 28, 79, 323]) {
+		for (const [name, changes] of [
+			['all hear one another', {}],
+			['a quarter hears nobody', { cutShare: 0.25 }],
+			['the fleet is split in half', { cutShare: 0.5, isCutTogether: true }],
+			['a third is split off', { cutShare: 0.34, isCutTogether: true }],
+			['an instance restarts every second', { restartIntervalMs: 1000 }],
+			[
+				'some restart while a third is split off',
+				{ cutShare: 0.34, isCutTogether: true, restartIntervalMs: 1000 },
+			],
+		] as const) {
+			// Guards against each instance, or each part of a split fleet, taking the whole limit for itself.
+			it(`${instances} instances, ${name}: no target gets more than ${LIMIT} in a second`, () => {
+				const { busiest, mean } = new ModelFleet({ instances, ...changes }).run();
+				expect(busiest).to.be.at.most(LIMIT);
+				expect(mean).to.be.at.least(0.4 * COLD_START.requestsPerSecond);
+			});
+		}
+	}
+});
--- a/packages/gateway/test/node/gatewayMetrics.test.ts
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -3,7 +3,13 @@
 
 describe('GatewayMetrics', () => {
 	it('counts observations from before the first scrape and after it', async () => {
-		const gauges = { configurationVersion: 7, targetsAgeMs: 500, peers: 3, droppedLogLines: 0 };
+		const gauges = {
+			configurationVersion: 7,
+			targetsAgeMs: 500,
+			coldTargets: 0,
+			peers: 3,
+			droppedLogLines: 0,
+		};
 		const metrics = new GatewayMetrics(() => gauges);
 		metrics.countRequest('read', 'answered');
 		metrics.observeLatency('idempotent', 'whole', 50);
