--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -68,6 +68,12 @@
 	readonly targetLimits?: readonly TargetLimitReport[];
 	/** Zones that the operator has evacuated; undefined if they are not known, or evacuations are not in use. */
 	readonly evacuations?: EvacuationReport;
+	/**
+	 * Targets that this instance treats as cold; undefined if it does not know that of all targets, or treats none as cold.
+	 */
+	readonly coldTargets?: readonly ColdTargetReport[] | undefined;
+	/** Number of instances, including this one, among which it divides what cold targets can handle. */
+	readonly rosterSize?: number | undefined;
 	/** Prompts recently sent to engines that did not have all their shared parts cached. */
 	readonly prompts: readonly PromptUpdate[];
 	/** Total tokens of the shared prompt parts that this instance knows to be cached by engines. */
@@ -95,6 +101,12 @@
 	ageMs: number,
 ];
 
+/**
+ * One start of a target, the time in ms for which it stays cold, and 1 if the target or its entry stated that to the
+ * sender; 0 if the sender assumes it, or heard it from another instance.
+ */
+export type ColdTargetReport = readonly [id: string, startedAtMs: number, leftMs: number, isStated: 0 | 1];
+
 export interface PromptUpdate {
 	readonly target: string;
 	/** Alternating hash and token count of each shared part. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -2,11 +2,13 @@
 import type { Disposable } from '@papayawell/core';
 import { DisposableStore, toDisposable } from '@papayawell/core';
 import { ActiveConfiguration } from '../common/activeConfiguration.js';
+import type { ColdTargetBounds } from '../common/coldTargetShare.js';
 import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, PeerState } from '../common/peerState.js';
+import type { PeerMessage } from '../common/peerMessage.js';
 import { decodePeerMessage, encodePeerMessage } from '../common/peerMessage.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
@@ -20,6 +22,7 @@
 import { BlockedPromptsSync } from './blockedPromptsSync.js';
 import { BrittlenessSync } from './brittlenessSync.js';
 import { CallerServer } from './callerServer.js';
+import { ColdTargetSync } from './coldTargetSync.js';
 import { ConfigurationSync } from './configurationSync.js';
 import { CrashTracker } from './crashTracker.js';
 import { EvacuationSync } from './evacuationSync.js';
@@ -52,6 +55,8 @@
 	readonly isFirstStart: boolean;
 	/** Whether the operator may evacuate zones; requests are then served only once the evacuated zones are known. */
 	readonly hasEvacuations?: boolean;
+	/** Bounds for cold targets; undefined if no target is treated as cold. */
+	readonly coldTargets?: ColdTargetBounds | undefined;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
 }
@@ -99,6 +104,7 @@
 	private readonly requestLimitSync: RequestLimitSync;
 	private readonly brittlenessSync: BrittlenessSync;
 	private readonly evacuationSync: EvacuationSync;
+	private readonly coldTargetSync: ColdTargetSync;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -125,6 +131,7 @@
 			targetsAgeMs: this.view.computeAge(performance.now()),
 			peers: this.membership.peers.listAll().length,
 			evacuatedZones: this.evacuationSync.zoneCount,
+			coldTargets: this.coldTargetSync.coldTargets,
 			droppedLogLines: dependencies.readDroppedLogLines(),
 		}));
 		this.client = new TargetClient({
@@ -149,6 +156,9 @@
 			onBrittlenessStated: (target, text, isRejection) => {
 				this.brittlenessSync.recordStatement(target, text, isRejection, performance.now());
 			},
+			onColdnessStated: (target, text) => {
+				this.coldTargetSync.recordStatement(target, text, performance.now());
+			},
 			onBackOffRequested: ({ record }, request) => {
 				this.metrics.countDecision('targetBackOff');
 				log.write('decision', 'targetBackOff', { target: record.id, ...request });
@@ -173,9 +183,7 @@
 			targets: this.targets,
 			log,
 			broadcast: (message) => {
-				for (const { instance } of this.membership.peers.listAll()) {
-					this.membership.sendMessage(encodePeerMessage(message), instance.controlAddress);
-				}
+				this.sendToAll(message);
 			},
 			countInstances: () => this.membership.peers.countInstances(performance.now()),
 			countHeard: () => this.membership.peers.listAll().length + 1,
@@ -187,11 +195,30 @@
 			closePools: (target) => {
 				this.client.closePools(target);
 			},
-			onDidChange: () => {
+			onDidChange: ({ returned }) => {
 				this.metrics.countDecision('zoneEvacuationChanged');
+				for (const zone of returned) {
+					this.targets.recordZoneReturn(zone, performance.now());
+				}
 				this.membership.announce(performance.now());
 			},
 		});
+		this.coldTargetSync = new ColdTargetSync({
+			targets: this.targets,
+			log,
+			ownName: settings.self.name,
+			bounds: settings.coldTargets,
+			isFirstStart: settings.isFirstStart,
+			getService: (service) => this.activeConfiguration.current?.configuration.services.get(service),
+			listPeers: () => this.membership.peers.listAll(),
+			broadcast: (message) => {
+				this.sendToAll(message);
+			},
+			readTargetsDigest: () => this.view.digest,
+			onDidTurnCold: () => {
+				this.metrics.countDecision('targetCold');
+			},
+		});
 		this.streamOriginSync = new StreamOriginSync({
 			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
 			send: (controlAddress, message) => {
@@ -310,6 +337,9 @@
 			onDidChange: (change, source) => {
 				this.handleTargetChange(change, source);
 			},
+			onColdnessListed: (coldness) => {
+				this.coldTargetSync.applyListed(coldness, performance.now());
+			},
 			fetchFromPeer: (address) => this.membership.fetch(address, '/targets'),
 		});
 		this.promptCacheSync = new PromptCacheSync({
@@ -338,6 +368,7 @@
 			crashTracker: this.crashTracker,
 			requestLimitSync: this.requestLimitSync,
 			evacuationSync: this.evacuationSync,
+			coldTargetSync: this.coldTargetSync,
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
@@ -364,6 +395,7 @@
 		this.activeConfiguration.onDidAdopt(({ snapshot, previousVersion, source }) => {
 			const { configuration } = snapshot;
 			this.server.setLimits(configuration.limits);
+			this.coldTargetSync.handleConfiguration();
 			this.dependencies.log.write('state', 'configurationAdopted', {
 				version: configuration.version,
 				previousVersion,
@@ -444,6 +476,7 @@
 		this.requestLimitSync.tick(nowMs);
 		this.brittlenessSync.tick();
 		this.evacuationSync.tick(nowMs);
+		this.coldTargetSync.tick(nowMs);
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.checkServing(nowMs);
@@ -497,6 +530,9 @@
 			case 'rejection':
 				this.brittlenessSync.adopt(message, performance.now());
 				return;
+			case 'cold':
+				this.coldTargetSync.adoptMessage(message, performance.now());
+				return;
 			case 'origins':
 			case 'query':
 			case 'reply':
@@ -519,6 +555,7 @@
 
 	private handleTargetChange(change: TargetListChange, source: TargetChangeSource): void {
 		this.targets.applyChange(change);
+		this.coldTargetSync.handleTargetChange(change, performance.now());
 		this.versionHistory.update(this.view.records, performance.now());
 		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
 			this.client.closePools(id);
@@ -529,6 +566,14 @@
 		this.checkServing(performance.now());
 	}
 
+	/** Sends a message to all other instances. */
+	private sendToAll(message: PeerMessage): void {
+		const bytes = encodePeerMessage(message);
+		for (const { instance } of this.membership.peers.listAll()) {
+			this.membership.sendMessage(bytes, instance.controlAddress);
+		}
+	}
+
 	private choosePeer(excluded: ReadonlySet<string>): TargetState | undefined {
 		const nowMs = performance.now();
 		const peers = this.membership.peers.listServingWithPath(nowMs).map(({ instance }) => instance);
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -11,6 +11,7 @@
 	readonly targetsAgeMs: number;
 	readonly peers: number;
 	readonly evacuatedZones: number;
+	readonly coldTargets: number;
 	readonly droppedLogLines: number;
 }
 
@@ -126,6 +127,7 @@
 	add('papayawell_targets_age_seconds', 'Age of the list of targets.', (g) => g.targetsAgeMs / 1000);
 	add('papayawell_peers', 'Other instances heard of.', (g) => g.peers);
 	add('papayawell_evacuated_zones', 'Zones to whose targets nothing is sent.', (g) => g.evacuatedZones);
+	add('papayawell_cold_targets', 'Targets that are treated as cold.', (g) => g.coldTargets);
 	add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
 	return {
 		registry,
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -6,6 +6,7 @@
 import { encodeTargetList } from '../common/targetListDocument.js';
 import type { TargetTable } from '../common/targetTable.js';
 import type { TargetView } from '../common/targetView.js';
+import type { ColdTargetSync } from './coldTargetSync.js';
 import type { ConfigurationSync } from './configurationSync.js';
 import type { CrashTracker } from './crashTracker.js';
 import type { EvacuationSync } from './evacuationSync.js';
@@ -25,6 +26,7 @@
 	readonly crashTracker: CrashTracker;
 	readonly requestLimitSync: RequestLimitSync;
 	readonly evacuationSync: EvacuationSync;
+	readonly coldTargetSync: ColdTargetSync;
 	readonly isServing: () => boolean;
 	/** Whether this instance reaches targets itself. */
 	readonly hasTargetPath: () => boolean;
@@ -55,6 +57,8 @@
 			...crashTracker.describePromptParts(nowMs),
 			targetLimits: requestLimitSync.listReports(nowMs),
 			...(evacuations === undefined ? {} : { evacuations }),
+			coldTargets: this.parts.coldTargetSync.listReports(nowMs),
+			rosterSize: this.parts.coldTargetSync.rosterSize,
 		};
 	}
 
@@ -94,6 +98,7 @@
 		promptCacheSync.handlePeerState(state, nowMs);
 		crashTracker.adoptPeerState(state, nowMs);
 		this.parts.requestLimitSync.adopt(state.targetLimits ?? [], nowMs);
+		this.parts.coldTargetSync.adoptPeerState(state, nowMs);
 	}
 
 	private listLoads(): readonly TargetLoad[] {
--- a/packages/gateway/test/node/gatewayMetrics.test.ts
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -8,6 +8,7 @@
 			targetsAgeMs: 500,
 			peers: 3,
 			evacuatedZones: 0,
+			coldTargets: 0,
 			droppedLogLines: 0,
 		};
 		const metrics = new GatewayMetrics(() => gauges);
