Keep requests of routes and customers in their home regions

Cause: routes and customers may have home-regions, which instances ignored.

Change: the regions of the route and of the customer are intersected once for each request. Targets, cached prompts to fetch, and instances to relay to are chosen there; the directory reads host, region and zone of the lookup and names instances in the home regions of the host's routes or in the caller's region. The settings may have region and zones. Without home regions nothing is filtered.

--- a/packages/gateway/src/common/gatewayConfiguration.ts
+++ b/packages/gateway/src/common/gatewayConfiguration.ts
@@ -37,6 +37,8 @@
 	readonly isPublic: boolean;
 	/** Whether requests carry prompts, which are placed by what targets have cached. */
 	readonly hasAffinity: boolean;
+	/** Regions in which its requests may be handled; any if undefined or empty. */
+	readonly homeRegions?: readonly string[] | undefined;
 }
 
 export interface ServiceDefinition {
@@ -70,6 +72,8 @@
 	readonly name: string;
 	/** Overrides the priority of the route; undefined if the route's priority applies. */
 	readonly priority: number | undefined;
+	/** Regions in which its requests may be handled; any if undefined or empty. */
+	readonly homeRegions?: readonly string[] | undefined;
 }
 
 export interface GatewayConfiguration {
--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -11,6 +11,8 @@
 	| 'noTarget'
 	| 'noConnection'
 	| 'targetsBusy'
+	/** The home regions of the route and of the customer have none in common. */
+	| 'noCommonRegion'
 	/** The operator has evacuated the zones of all targets of the service. */
 	| 'zonesEvacuated'
 	/** All targets of the service asked for a pause. */
@@ -64,6 +66,7 @@
 			return { status: 401, retryAfterMs: undefined };
 		case 'missingId':
 			return { status: 400, retryAfterMs: undefined };
+		case 'noCommonRegion':
 		case 'unknownStream':
 		case 'versionGone':
 			return { status: 503, retryAfterMs: undefined };
--- a/packages/gateway/src/common/routeTable.ts
+++ b/packages/gateway/src/common/routeTable.ts
@@ -22,6 +22,13 @@
 		}
 	}
 
+	/** Lists the home regions of each route of a host that has any. */
+	public listHomeRegions(host: string): readonly (readonly string[])[] {
+		return (this.routesByHost.get(removePort(host).toLowerCase()) ?? [])
+			.map(({ homeRegions }) => homeRegions ?? [])
+			.filter((regions) => regions.length > 0);
+	}
+
 	/**
 	 * @param host host of the request, with or without a port
 	 * @param path path as received, without the query
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -1,5 +1,7 @@
 /** Holds the state of all known targets and chooses one for a request. */
 import { chooseByCachedPrefix } from './cacheAwarePlacement.js';
+import type { RegionLookup } from './homeRegions.js';
+import { isZoneIn } from './homeRegions.js';
 import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
 import type { TargetRecord } from './targetRecord.js';
@@ -33,6 +35,8 @@
 	readonly allowed: ReadonlySet<string> | undefined;
 	/** Version of the software that the target must have; undefined if any may serve. */
 	readonly version: string | undefined;
+	/** Regions in which the request may reach targets; undefined if any. */
+	readonly regions?: ReadonlySet<string> | undefined;
 }
 
 export type PlacementReason =
@@ -62,7 +66,10 @@
 	private readonly byService = new Map<string, TargetState[]>();
 	private evacuatedZones: ReadonlySet<string> = new Set();
 
-	constructor(private readonly ownZone: string) {}
+	constructor(
+		private readonly ownZone: string,
+		private readonly findRegion: RegionLookup = () => undefined,
+	) {}
 
 	public get all(): Iterable<TargetState> {
 		return this.states.values();
@@ -109,9 +116,13 @@
 		return this.evacuatedZones.has(record.zone);
 	}
 
-	/** Whether a service has targets of a version, all of them in evacuated zones. */
-	public isServiceEvacuated(service: string, version: string | undefined): boolean {
-		const staying = this.listStaying(service, version);
+	/** Whether a service has targets of a version in these regions, all of them in evacuated zones. */
+	public isServiceEvacuated(
+		service: string,
+		version: string | undefined,
+		regions?: ReadonlySet<string>,
+	): boolean {
+		const staying = this.listStaying(service, version, regions);
 		return staying.length > 0 && staying.every((target) => this.isEvacuated(target));
 	}
 
@@ -151,9 +162,15 @@
 	 * Returns the time until a target of a service takes requests of this instance again, in ms; 0 if one does, or if none
 	 * is known that will, and infinity if only other instances may use the targets.
 	 * @param version version that the target must have; undefined if any may serve
+	 * @param regions regions in which the target must be; undefined if any
 	 */
-	public computePause(service: string, version: string | undefined, nowMs: number): number {
-		const staying = this.listStaying(service, version).filter((target) => !this.isEvacuated(target));
+	public computePause(
+		service: string,
+		version: string | undefined,
+		nowMs: number,
+		regions?: ReadonlySet<string>,
+	): number {
+		const staying = this.listStaying(service, version, regions).filter((target) => !this.isEvacuated(target));
 		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.computePause(nowMs)));
 	}
 
@@ -163,7 +180,7 @@
 	}
 
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
-		const all = this.listUsable(request.service);
+		const all = this.listUsable(request);
 		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
 		const live = serving.filter((target) => isReachable(target, nowMs));
 		const healthy = selectHealthy(live, nowMs);
@@ -192,15 +209,25 @@
 			.rejectionsPerSecond;
 	}
 
-	/** Lists the targets of a service whose zones are not evacuated. */
-	private listUsable(service: string): readonly TargetState[] {
+	/** Lists the targets of a service that are in allowed regions, and whose zones are not evacuated. */
+	private listUsable({ service, regions }: PlacementRequest): readonly TargetState[] {
 		const states = this.byService.get(service) ?? [];
-		return this.evacuatedZones.size === 0 ? states : states.filter((target) => !this.isEvacuated(target));
+		if (this.evacuatedZones.size === 0 && regions === undefined) {
+			return states;
+		}
+		return states.filter(
+			(target) => !this.isEvacuated(target) && isZoneIn(target.record.zone, regions, this.findRegion),
+		);
 	}
 
-	private listStaying(service: string, version: string | undefined): readonly TargetState[] {
+	private listStaying(
+		service: string,
+		version: string | undefined,
+		regions?: ReadonlySet<string>,
+	): readonly TargetState[] {
 		return (this.byService.get(service) ?? []).filter(
-			({ record }) => !record.isLeaving && isOfVersion(record, version),
+			({ record }) =>
+				!record.isLeaving && isOfVersion(record, version) && isZoneIn(record.zone, regions, this.findRegion),
 		);
 	}
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export type { EventLog, LogClass, LogFields } from './common/eventLog.js';
 export * from './common/gatewayConfiguration.js';
 export * from './common/gatewayRequest.js';
+export type { DirectoryCaller } from './common/homeRegions.js';
 export * from './common/metadataStore.js';
 export { StoreEraTracker } from './common/storeEraTracker.js';
 export type { StoreRestore } from './common/storeEraTracker.js';
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -32,8 +32,14 @@
 	readonly hasLostPath: () => boolean;
 	/** Records that a target could not be reached or stopped sending. */
 	readonly recordPathFailure: () => void;
-	/** Chooses an instance that reaches targets, to relay a request to it; undefined if there is none. */
-	readonly choosePeer: (excluded: ReadonlySet<string>) => TargetState | undefined;
+	/**
+	 * Chooses an instance that reaches targets, to relay a request to it; undefined if there is none. It is in one of the
+	 * regions, if there is a restriction, or in the region of this instance, which is taken as the caller's.
+	 */
+	readonly choosePeer: (
+		excluded: ReadonlySet<string>,
+		regions: ReadonlySet<string> | undefined,
+	) => TargetState | undefined;
 	/** This instance. */
 	readonly self: FleetInstance;
 	/** Records that a prompt was sent to a target, which caches it. */
--- a/packages/gateway/src/node/exchangePlacement.ts
+++ b/packages/gateway/src/node/exchangePlacement.ts
@@ -1,5 +1,6 @@
 /** Chooses where one request is sent: the service, the version of a stream that goes on, and a target or an instance. */
 import type { AttemptHistory } from '../common/attemptHistory.js';
+import { computeAllowedRegions } from '../common/homeRegions.js';
 import type { PromptChain } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { pickService } from '../common/routeTable.js';
@@ -21,6 +22,8 @@
 	/** Whether the stream goes on through another instance, which knows its version. */
 	private isRelayedStream = false;
 	private relays = 0;
+	/** Regions in which the request may reach targets; undefined if any. */
+	private readonly regions: ReadonlySet<string> | undefined;
 
 	constructor(
 		private readonly parts: ExchangeParts,
@@ -28,6 +31,7 @@
 		private readonly prompt: PromptChain,
 		private readonly history: AttemptHistory,
 	) {
+		this.regions = computeAllowedRegions(input.route.homeRegions, input.customer?.homeRegions);
 		this.pickedService = pickService(input.route.services, Math.random()) ?? '';
 	}
 
@@ -77,6 +81,7 @@
 				excluded,
 				allowed: this.history.allowed,
 				version: this.version,
+				regions: this.regions,
 			},
 			performance.now(),
 		);
@@ -84,8 +89,11 @@
 
 	/** Explains that `chooseNext` found nothing. */
 	public describeMissing(): { readonly reason: RefusalReason; readonly detail: string } {
-		const { service, version } = this;
-		if (this.parts.targets.isServiceEvacuated(service, version)) {
+		const { regions, service, version } = this;
+		if (regions?.size === 0) {
+			return { reason: 'noCommonRegion', detail: 'the route and the customer have no home region in common' };
+		}
+		if (this.parts.targets.isServiceEvacuated(service, version, regions)) {
 			return {
 				reason: 'zonesEvacuated',
 				detail: `the zones of all targets of service ${service} are evacuated`,
@@ -98,7 +106,7 @@
 
 	/** Returns the time until a target may take the request, in ms; 0 if one does or none is known that will. */
 	public computePause(nowMs: number): number {
-		return this.parts.targets.computePause(this.service, this.version, nowMs);
+		return this.parts.targets.computePause(this.service, this.version, nowMs, this.regions);
 	}
 
 	public recordSend({ reason }: Placement): void {
@@ -125,7 +133,7 @@
 		if (this.input.relayed !== undefined || this.relays >= MAX_RELAYS) {
 			return undefined;
 		}
-		const target = this.parts.choosePeer(excluded);
+		const target = this.parts.choosePeer(excluded, this.regions);
 		return target === undefined
 			? undefined
 			: { target, reason: 'relay', meanLoad: 0, cachedTokens: 0, cacheSource: undefined };
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,6 +6,8 @@
 import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
+import type { DirectoryCaller, RegionLookup } from '../common/homeRegions.js';
+import { buildRegionLookup, isZoneIn, listInstanceRegions } from '../common/homeRegions.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, PeerState } from '../common/peerState.js';
 import type { PeerMessage } from '../common/peerMessage.js';
@@ -53,6 +55,10 @@
 	readonly graceMs: number;
 	/** Whether the whole fleet starts for the first time, so that no peer knows more than the store. */
 	readonly isFirstStart: boolean;
+	/** Region of this instance; undefined in deployments without regions. */
+	readonly region?: string | undefined;
+	/** Regions of all zones. */
+	readonly regionsByZone?: ReadonlyMap<string, string>;
 	/** Whether the operator may evacuate zones; requests are then served only once the evacuated zones are known. */
 	readonly hasEvacuations?: boolean;
 	/** Bounds for cold targets; undefined if no target is treated as cold. */
@@ -77,8 +83,11 @@
 	readonly ended: Promise<void>;
 	/** Whether callers may be directed to this instance. */
 	isServing(): boolean;
-	/** Lists the addresses of the instances that callers may be directed to. */
-	listEntryAddresses(): readonly string[];
+	/**
+	 * Lists the addresses of the instances that a caller may be directed to; none if its routes have home regions, and no
+	 * instance is in one of these or in the caller's.
+	 */
+	listEntryAddresses(caller?: DirectoryCaller): readonly string[];
 	/** Starts the graceful shutdown. */
 	drain(): void;
 }
@@ -97,6 +106,7 @@
 	private readonly activeConfiguration = new ActiveConfiguration();
 	private readonly view = new TargetView();
 	private readonly versionHistory: VersionHistory;
+	private readonly findRegion: RegionLookup;
 	private readonly targets: TargetTable;
 	private readonly retries: RetryBudgets;
 	private readonly crashTracker: CrashTracker;
@@ -123,7 +133,12 @@
 		const { settings, store, codec, log } = dependencies;
 		this.catchUp = new StartupCatchUp(performance.now(), settings.isFirstStart);
 		this.versionHistory = new VersionHistory(settings.isFirstStart);
-		this.targets = new TargetTable(settings.self.zone);
+		this.findRegion = buildRegionLookup(
+			settings.regionsByZone ?? new Map(),
+			settings.self.zone,
+			settings.region,
+		);
+		this.targets = new TargetTable(settings.self.zone, this.findRegion);
 		this.peerRoutes = new PeerRoutes(settings.self.zone);
 		this.retries = new RetryBudgets(settings.retries);
 		this.metrics = new GatewayMetrics(() => ({
@@ -277,7 +292,7 @@
 				recordPathFailure: () => {
 					this.pathMonitor.recordFailure();
 				},
-				choosePeer: (excluded) => this.choosePeer(excluded),
+				choosePeer: (excluded, regions) => this.choosePeer(excluded, regions),
 				self: settings.self,
 				recordPrompt: (target, prompt) => {
 					this.promptCacheSync.recordPlacement(target, prompt, performance.now());
@@ -440,21 +455,26 @@
 		);
 	}
 
-	public listEntryAddresses(): readonly string[] {
+	public listEntryAddresses(caller?: DirectoryCaller): readonly string[] {
 		const { peers } = this.membership;
 		const nowMs = performance.now();
-		const own = this.dependencies.settings.self.callersAddress;
-		const readAddress = ({ instance }: PeerState): string => instance.callersAddress;
-		const withPath = peers.listServingWithPath(nowMs).map(readAddress);
-		if (this.isServing() && !this.pathMonitor.isLost) {
-			return [own, ...withPath];
+		const { self } = this.dependencies.settings;
+		const regions = this.listCallerRegions(caller);
+		const own = isZoneIn(self.zone, regions, this.findRegion) ? [self.callersAddress] : [];
+		const listAddresses = (states: readonly PeerState[]): readonly string[] =>
+			states
+				.filter(({ instance }) => isZoneIn(instance.zone, regions, this.findRegion))
+				.map(({ instance }) => instance.callersAddress);
+		const withPath = listAddresses(peers.listServingWithPath(nowMs));
+		if (this.isServing() && !this.pathMonitor.isLost && own.length + withPath.length > 0) {
+			return [...own, ...withPath];
 		}
 		if (withPath.length > 0) {
 			return withPath;
 		}
 		// No instance reaches the targets: each that serves may be the first whose path is back.
-		const serving = peers.listServing(nowMs).map(readAddress);
-		return this.isServing() || serving.length === 0 ? [own, ...serving] : serving;
+		const serving = listAddresses(peers.listServing(nowMs));
+		return this.isServing() || serving.length === 0 ? [...own, ...serving] : serving;
 	}
 
 	public drain(): void {
@@ -574,9 +594,28 @@
 		}
 	}
 
-	private choosePeer(excluded: ReadonlySet<string>): TargetState | undefined {
+	/** Regions of the instances that a caller may be directed to; undefined if any. */
+	private listCallerRegions(caller: DirectoryCaller | undefined): ReadonlySet<string> | undefined {
+		const routes = this.activeConfiguration.current?.routes;
+		if (caller === undefined || routes === undefined) {
+			return undefined;
+		}
+		const { host, region, zone } = caller;
+		const callerRegion = region ?? (zone === undefined ? undefined : this.findRegion(zone));
+		return listInstanceRegions(routes.listHomeRegions(host), callerRegion);
+	}
+
+	private choosePeer(
+		excluded: ReadonlySet<string>,
+		regions: ReadonlySet<string> | undefined,
+	): TargetState | undefined {
 		const nowMs = performance.now();
-		const peers = this.membership.peers.listServingWithPath(nowMs).map(({ instance }) => instance);
+		const allowed =
+			regions && listInstanceRegions([[...regions]], this.findRegion(this.dependencies.settings.self.zone));
+		const peers = this.membership.peers
+			.listServingWithPath(nowMs)
+			.map(({ instance }) => instance)
+			.filter(({ zone }) => isZoneIn(zone, allowed, this.findRegion));
 		return this.peerRoutes.choose(peers, excluded, nowMs);
 	}
 
