Send nothing for a moment after a pause where zones may be evacuated

Cause: a process that was paused for longer than an evacuation may take would serve what callers sent meanwhile before it has read the event of the store.

Only deployments with bounds.evacuate-ms do this.

--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -65,6 +65,8 @@
 	private readonly states = new Map<string, TargetState>();
 	private readonly byService = new Map<string, TargetState[]>();
 	private evacuatedZones: ReadonlySet<string> = new Set();
+	/** No target is chosen before. */
+	private pausedUntilMs = -Infinity;
 
 	constructor(
 		private readonly ownZone: string,
@@ -111,6 +113,11 @@
 		this.evacuatedZones = zones;
 	}
 
+	/** Chooses no target until the given time, since it is not known which zones are evacuated. */
+	public pause(untilMs: number): void {
+		this.pausedUntilMs = untilMs;
+	}
+
 	/** Whether nothing may be sent to a target, since its zone is evacuated. */
 	public isEvacuated({ record }: TargetState): boolean {
 		return this.evacuatedZones.has(record.zone);
@@ -180,6 +187,9 @@
 	}
 
 	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
+		if (nowMs < this.pausedUntilMs) {
+			return undefined;
+		}
 		const all = this.listUsable(request);
 		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
 		const live = serving.filter((target) => isReachable(target, nowMs));
--- a/packages/gateway/src/node/evacuationSync.ts
+++ b/packages/gateway/src/node/evacuationSync.ts
@@ -6,6 +6,11 @@
 import type { StorePosition } from '../common/storePosition.js';
 import type { TargetTable } from '../common/targetTable.js';
 
+/** Gap between two ticks after which an evacuation may have been missed, since the process was paused. */
+const MAX_TICK_GAP_MS = 2000;
+/** Time in which events that arrived during a pause are read, and several peers gossip the zones. */
+const PAUSE_CATCH_UP_MS = 200;
+
 export interface EvacuationSyncParts {
 	/** Whether the operator may evacuate zones of this deployment. */
 	readonly isEnabled: boolean;
@@ -19,6 +24,7 @@
 
 export class EvacuationSync implements Disposable {
 	private readonly zones = new EvacuatedZones();
+	private lastTickMs: number | undefined;
 
 	constructor(private readonly parts: EvacuationSyncParts) {
 		this.zones.onDidChange((change) => {
@@ -54,7 +60,14 @@
 		return this.zones.describe(nowMs);
 	}
 
+	/** Called periodically, before any other work of a tick. */
 	public tick(nowMs: number): void {
+		const gapMs = nowMs - (this.lastTickMs ?? nowMs);
+		this.lastTickMs = nowMs;
+		if (this.parts.isEnabled && gapMs > MAX_TICK_GAP_MS) {
+			this.parts.targets.pause(nowMs + PAUSE_CATCH_UP_MS);
+			this.parts.log.write('state', 'processPaused', { gapMs: Math.round(gapMs) });
+		}
 		this.zones.tick(nowMs);
 	}
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -487,6 +487,7 @@
 
 	private tick(): void {
 		const nowMs = performance.now();
+		this.evacuationSync.tick(nowMs);
 		this.membership.tick(nowMs);
 		this.targetListSync.tick(nowMs);
 		this.pathMonitor.tick(nowMs);
@@ -495,7 +496,6 @@
 		this.shutdown.tick(nowMs);
 		this.requestLimitSync.tick(nowMs);
 		this.brittlenessSync.tick();
-		this.evacuationSync.tick(nowMs);
 		this.coldTargetSync.tick(nowMs);
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
