Treat targets as cold that instances could not reach, and tell all of them

Cause: an instance that sends a target little does not notice that it was down, and learns of its new start only from the list. An instance without a share could not find out that a target is back. Change: an instance that cannot open a connection tells all others; the reports of two make a target cold, since one may have lost its path. An instance that reaches it again says so in its gossip.

--- a/packages/gateway/src/common/peerMessage.ts
+++ b/packages/gateway/src/common/peerMessage.ts
@@ -31,7 +31,16 @@
 	readonly leftMs: number;
 }
 
-export type PeerMessage = StreamOriginMessage | RejectionMessage | HeartbeatMessage | ColdTargetMessage;
+/** Tells that the sender could open no connection to a target. */
+export interface UnreachableTargetMessage {
+	readonly kind: 'unreachable';
+	readonly target: string;
+	/** Start of the target's process in epoch ms. */
+	readonly startedAtMs: number;
+}
+
+export type PeerMessage =
+	StreamOriginMessage | RejectionMessage | HeartbeatMessage | ColdTargetMessage | UnreachableTargetMessage;
 
 /** Messages by which instances tell and ask one another of the origins of streams. */
 export type StreamOriginMessage =
@@ -102,6 +111,8 @@
 				Number.isSafeInteger(message.leftMs) &&
 				Number(message.leftMs) >= 0
 			);
+		case 'unreachable':
+			return typeof message.target === 'string' && Number.isSafeInteger(message.startedAtMs);
 		default:
 			return false;
 	}
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -101,11 +101,24 @@
 	ageMs: number,
 ];
 
-/**
- * One start of a target, the time in ms for which it stays cold, and 1 if the target or its entry stated that to the
- * sender; 0 if the sender assumes it, or heard it from another instance.
- */
-export type ColdTargetReport = readonly [id: string, startedAtMs: number, leftMs: number, isStated: 0 | 1];
+/** How the sender of a report knows that a target is cold. */
+export const ColdnessSource = {
+	/** The sender assumes it, or heard it from another instance. */
+	Assumed: 0,
+	/** The target or its entry stated it to the sender. */
+	Stated: 1,
+	/** The sender has reached the target again after it was unreachable. */
+	Regained: 2,
+} as const;
+export type ColdnessSource = (typeof ColdnessSource)[keyof typeof ColdnessSource];
+
+/** One start of a target, and the time in ms for which it stays cold. */
+export type ColdTargetReport = readonly [
+	id: string,
+	startedAtMs: number,
+	leftMs: number,
+	source: ColdnessSource,
+];
 
 export interface PromptUpdate {
 	readonly target: string;
--- a/packages/gateway/src/common/targetColdness.ts
+++ b/packages/gateway/src/common/targetColdness.ts
@@ -20,6 +20,14 @@
 /** Limit of the recorded sends, and so of a share. */
 const MAX_RECORDED_SENDS = 200;
 
+/**
+ * Time after a failed connection, or a peer's report of one, for which an instance without a share waits to hear from the
+ * others that the target is back, before it tries by itself.
+ */
+const UNREACHABLE_LIMIT_MS = 10_000;
+/** Failed connections of two instances within this time have the same cause, which is not the path of one of them. */
+const REPORT_INTERVAL_MS = 2000;
+
 /** Why a target that states nothing is treated as cold: its start is new in the list, or it was out of use. */
 export type ColdnessCause = 'listed' | 'regained';
 
@@ -37,7 +45,12 @@
 	private assumedAtMs = -Infinity;
 	private cause: ColdnessCause = 'listed';
 	private ownShare = 0;
-	private isUnreachable = false;
+	/** When the target was last found to be unreachable; undefined after it was reached. */
+	private unreachableAtMs: number | undefined;
+	private isFoundUnreachable = false;
+	private isRegained = false;
+	private reporter: string | undefined;
+	private reportedAtMs = -Infinity;
 	/** Times of the latest requests of this instance, the oldest first. */
 	private sentAtMs: number[] = [];
 
@@ -101,19 +114,51 @@
 		}
 	}
 
-	/** Records that no connection to the target could be opened: it may restart. */
-	public recordUnreachable(): void {
-		this.isUnreachable = true;
+	/** Records that this instance could open no connection to the target: it may restart. */
+	public recordUnreachable(nowMs: number): void {
+		this.unreachableAtMs = nowMs;
+		this.isFoundUnreachable = true;
+		this.isRegained = false;
+	}
+
+	/**
+	 * Records that another instance could open no connection to the target. One instance may have lost its path; two have
+	 * most likely found out that the target is down.
+	 */
+	public adoptUnreachable(reporter: string, nowMs: number): void {
+		const isConfirmed = this.reporter !== reporter && nowMs - this.reportedAtMs <= REPORT_INTERVAL_MS;
+		this.reporter = reporter;
+		this.reportedAtMs = nowMs;
+		if (isConfirmed && this.unreachableAtMs === undefined) {
+			this.unreachableAtMs = nowMs;
+			this.isRegained = false;
+		}
 	}
 
 	/** Records that the target has sent something. */
 	public recordContact(nowMs: number): void {
-		if (this.isUnreachable) {
-			this.isUnreachable = false;
+		if (this.unreachableAtMs !== undefined) {
+			this.unreachableAtMs = undefined;
+			this.isFoundUnreachable = false;
+			this.isRegained = true;
 			this.recordAssumption('regained', nowMs);
 		}
 	}
 
+	/** Records that another instance has reached the target again, which stays cold for some time. */
+	public adoptRegained(leftMs: number, nowMs: number): void {
+		if (this.unreachableAtMs !== undefined) {
+			this.unreachableAtMs = undefined;
+			this.isFoundUnreachable = false;
+			this.adopt(leftMs, nowMs);
+		}
+	}
+
+	/** Whether this instance has itself found the target to be unreachable, and nobody has reached it since. */
+	public get isUnreachable(): boolean {
+		return this.isFoundUnreachable;
+	}
+
 	/** Records a request of this instance. Those sent before the target turned cold count in the same second. */
 	public recordSent(nowMs: number): void {
 		if (this.coldStart !== undefined) {
@@ -129,13 +174,19 @@
 		this.sentAtMs = [...sentAtMs];
 	}
 
-	/** Returns the time for which the target is, or may be, cold, in ms. It is limited for longer while unreachable. */
+	/** Returns the time for which the target is, or may be, cold, in ms. */
 	public computeRemaining(nowMs: number): number {
 		if (this.coldStart === undefined) {
 			return 0;
 		}
-		const assumedSinceMs = this.isUnreachable ? nowMs : this.assumedAtMs;
-		return Math.max(0, this.statedUntilMs - nowMs, assumedSinceMs + this.coldStart.durationMs - nowMs);
+		const unreachableUntilMs = (this.unreachableAtMs ?? -Infinity) + UNREACHABLE_LIMIT_MS;
+		const assumedUntilMs = this.assumedAtMs + this.coldStart.durationMs;
+		return Math.max(0, this.statedUntilMs - nowMs, assumedUntilMs - nowMs, unreachableUntilMs - nowMs);
+	}
+
+	/** Whether this instance has reached the target again, and treats it as cold for that reason. */
+	public isRegainedCold(nowMs: number): boolean {
+		return this.isRegained && this.computeRemaining(nowMs) > 0;
 	}
 
 	/** Whether the target itself, or its entry, stated to this instance that it is cold now. */
--- a/packages/gateway/src/node/coldTargetSync.ts
+++ b/packages/gateway/src/node/coldTargetSync.ts
@@ -7,11 +7,13 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { ServiceDefinition } from '../common/gatewayConfiguration.js';
 import { InstanceRoster } from '../common/instanceRoster.js';
-import type { ColdTargetMessage } from '../common/peerMessage.js';
+import type { ColdTargetMessage, UnreachableTargetMessage } from '../common/peerMessage.js';
 import type { ColdTargetReport, PeerState } from '../common/peerState.js';
+import { ColdnessSource } from '../common/peerState.js';
 import type { LimitUser } from '../common/requestLimitShare.js';
 import { createLimitUser } from '../common/requestLimitShare.js';
 import { parseColdTime } from '../common/statedRate.js';
+import type { TargetColdness } from '../common/targetColdness.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
 import type { ListedColdness, TargetListChange } from '../common/targetView.js';
@@ -28,7 +30,7 @@
 	/** Lists the peers that are heard of now. */
 	readonly listPeers: () => readonly PeerState[];
 	/** Sends a message to all other instances. */
-	readonly broadcast: (message: ColdTargetMessage) => void;
+	readonly broadcast: (message: ColdTargetMessage | UnreachableTargetMessage) => void;
 	readonly readTargetsDigest: () => number;
 	readonly onDidTurnCold: () => void;
 }
@@ -38,6 +40,8 @@
 	private readonly roster = new InstanceRoster();
 	/** Targets of which it was decided whether they may be cold when they were first listed. */
 	private readonly assessed = new WeakSet<TargetState>();
+	/** Unreachable targets of which the other instances were told. */
+	private readonly announced = new WeakSet<TargetState>();
 	/** Start, revision and remaining time of the entry that was applied last, by the target's id. */
 	private readonly appliedEntries = new Map<string, string>();
 	private firstListAtMs: number | undefined;
@@ -75,6 +79,7 @@
 			this.roundRevision = this.roster.revision;
 			this.updateShares();
 		}
+		this.announceUnreachable();
 		this.logTransitions(nowMs);
 	}
 
@@ -160,7 +165,7 @@
 		for (const { record, coldness } of this.parts.targets.all) {
 			const remainingMs = Math.ceil(coldness.computeRemaining(nowMs));
 			if (remainingMs > 0) {
-				reports.push([record.id, record.startedAtMs, remainingMs, coldness.isStatedCold(nowMs) ? 1 : 0]);
+				reports.push([record.id, record.startedAtMs, remainingMs, findSource(coldness, nowMs)]);
 			}
 		}
 		return reports;
@@ -177,27 +182,48 @@
 			this.isSettled = true;
 			this.settle(coldTargets, nowMs);
 		}
-		for (const [id, startedAtMs, leftMs, isStated] of coldTargets) {
-			this.adopt(id, startedAtMs, leftMs, isStated === 1, nowMs);
+		for (const report of coldTargets) {
+			this.adopt(report, nowMs);
 		}
 	}
 
 	/** Adopts that a target has just told another instance that it is cold. */
 	public adoptMessage({ target, startedAtMs, leftMs }: ColdTargetMessage, nowMs: number): void {
 		if (this.parts.bounds !== undefined) {
-			this.adopt(target, startedAtMs, leftMs, true, nowMs);
+			this.adopt([target, startedAtMs, leftMs, ColdnessSource.Stated], nowMs);
 		}
 	}
 
-	private adopt(id: string, startedAtMs: number, leftMs: number, isStated: boolean, nowMs: number): void {
+	/** Adopts that another instance could open no connection to a target. */
+	public adoptUnreachable(message: UnreachableTargetMessage, sender: string, nowMs: number): void {
+		const target = this.parts.targets.find(message.target);
+		if (target?.record.startedAtMs === message.startedAtMs) {
+			target.coldness.adoptUnreachable(sender, nowMs);
+		}
+	}
+
+	private adopt([id, startedAtMs, leftMs, source]: ColdTargetReport, nowMs: number): void {
 		const target = this.parts.targets.find(id);
 		if (target === undefined) {
 			return;
 		}
 		// A later start than the one that is listed here runs at the same address already.
-		const isLaterStart = startedAtMs > target.record.startedAtMs;
-		if (isLaterStart || (isStated && startedAtMs === target.record.startedAtMs)) {
+		if (startedAtMs > target.record.startedAtMs) {
 			target.coldness.adopt(leftMs, nowMs);
+			return;
+		}
+		if (startedAtMs < target.record.startedAtMs) {
+			return;
+		}
+		switch (source) {
+			case ColdnessSource.Assumed:
+				return;
+			case ColdnessSource.Stated:
+				target.coldness.adopt(leftMs, nowMs);
+				return;
+			case ColdnessSource.Regained:
+				target.coldness.adoptRegained(leftMs, nowMs);
+				return;
 		}
 	}
 
@@ -230,6 +256,20 @@
 		}
 	}
 
+	/** Tells all instances of targets that this one has found to be unreachable; they may come back cold. */
+	private announceUnreachable(): void {
+		for (const target of this.parts.targets.all) {
+			const { coldness, record } = target;
+			if (!coldness.isUnreachable) {
+				this.announced.delete(target);
+			} else if (coldness.definition !== undefined && !this.announced.has(target)) {
+				this.announced.add(target);
+				const { id, startedAtMs } = record;
+				this.parts.broadcast({ kind: 'unreachable', target: id, startedAtMs });
+			}
+		}
+	}
+
 	private updateShares(): void {
 		const { bounds, getService, targets } = this.parts;
 		if (bounds === undefined) {
@@ -267,3 +307,10 @@
 		}
 	}
 }
+
+function findSource(coldness: TargetColdness, nowMs: number): ColdnessSource {
+	if (coldness.isStatedCold(nowMs)) {
+		return ColdnessSource.Stated;
+	}
+	return coldness.isRegainedCold(nowMs) ? ColdnessSource.Regained : ColdnessSource.Assumed;
+}
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -143,7 +143,7 @@
 		const nowMs = performance.now();
 		if (!isAlive) {
 			target.health.recordConnectionFailure(nowMs, true);
-			target.coldness.recordUnreachable();
+			target.coldness.recordUnreachable(nowMs);
 			this.parts.log.write('state', 'targetDied', {
 				target: target.record.id,
 				service: target.record.service,
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -331,7 +331,7 @@
 			this.placement.recordPathFailure();
 		}
 		if (failure === 'unreachable') {
-			attempt.target.coldness.recordUnreachable();
+			attempt.target.coldness.recordUnreachable(performance.now());
 		}
 		switch (failure) {
 			case 'unreachable':
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -553,6 +553,9 @@
 			case 'cold':
 				this.coldTargetSync.adoptMessage(message, performance.now());
 				return;
+			case 'unreachable':
+				this.coldTargetSync.adoptUnreachable(message, controlAddress, performance.now());
+				return;
 			case 'origins':
 			case 'query':
 			case 'reply':
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -5,6 +5,7 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { isEvacuationReport } from '../common/evacuatedZones.js';
 import type { PeerState } from '../common/peerState.js';
+import { ColdnessSource } from '../common/peerState.js';
 import { isPartAnswerReport, isPartDeathReport } from '../common/promptCrashTracker.js';
 
 /** Smaller states are sent as they are: they are few, and compression would cost more than it saves. */
@@ -98,6 +99,6 @@
 		isTargetStart(value) &&
 		Number.isSafeInteger(value[2]) &&
 		Number(value[2]) >= 0 &&
-		(value[3] === 0 || value[3] === 1)
+		Object.values<unknown>(ColdnessSource).includes(value[3])
 	);
 }
--- a/packages/gateway/src/node/targetPathMonitor.ts
+++ b/packages/gateway/src/node/targetPathMonitor.ts
@@ -66,9 +66,10 @@
 		const { log, targets, onDidChange } = this.parts;
 		log.write('state', isLost ? 'targetPathLost' : 'targetPathRegained', {});
 		if (!isLost) {
-			for (const { health } of targets.all) {
+			for (const { coldness, health } of targets.all) {
 				// The failures were those of the path, and only calls could refute them.
 				health.reset();
+				coldness.recordContact(performance.now());
 			}
 		}
 		onDidChange(isLost);
--- a/packages/gateway/test/common/peerMessage.test.ts
+++ b/packages/gateway/test/common/peerMessage.test.ts
@@ -9,6 +9,8 @@
 		{ kind: 'reply', query: 3, origin: null, opinion: { kind: 'sole', version: 'v1' } },
 		{ kind: 'rejection', target: 'i-1', startedAtMs: 7, rejectionsPerSecond: 2.5 },
 		{ kind: 'heartbeat', name: 'a', incarnation: '1', isServing: true },
+		{ kind: 'cold', target: 'i-1', startedAtMs: 7, leftMs: 2500 },
+		{ kind: 'unreachable', target: 'i-1', startedAtMs: 7 },
 		{ kind: 'reply', query: 3, origin: ['a', 'engines', 'v1', 5], opinion: { kind: 'several' } },
 	];
 
@@ -29,6 +31,9 @@
 		'{"kind":"rejection","target":"i-1","startedAtMs":1.5,"rejectionsPerSecond":2}',
 		'{"kind":"rejection","target":"i-1","startedAtMs":1}',
 		'{"kind":"heartbeat","name":"a","incarnation":"1"}',
+		'{"kind":"cold","target":"i-1","startedAtMs":1,"leftMs":-1}',
+		'{"kind":"cold","target":"i-1","startedAtMs":1}',
+		'{"kind":"unreachable","target":1,"startedAtMs":1}',
 		'{"kind":"other"}',
 	]) {
 		it(`are rejected if they are malformed: ${text}`, () => {
