Treat the targets of a zone as cold when its evacuation ends

Cause: the targets of an evacuated zone get nothing for a while and may be cold when it is taken back. Change: the end of an evacuation is passed to the table of targets, which has no effect without bounds for cold targets. Measured: build passes; the effect on a table is covered by coldTargetSync.test.ts for the case without bounds only.

--- a/packages/gateway/src/node/evacuationSync.ts
+++ b/packages/gateway/src/node/evacuationSync.ts
@@ -84,6 +84,7 @@
 		}
 		for (const zone of returned) {
 			log.write('state', 'zoneReturned', { zone, ...position, source });
+			targets.recordZoneReturn(zone, performance.now());
 		}
 		for (const { record } of targets.all) {
 			if (evacuated.includes(record.zone)) {
