--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -210,11 +210,8 @@
 			closePools: (target) => {
 				this.client.closePools(target);
 			},
-			onDidChange: ({ returned }) => {
+			onDidChange: () => {
 				this.metrics.countDecision('zoneEvacuationChanged');
-				for (const zone of returned) {
-					this.targets.recordZoneReturn(zone, performance.now());
-				}
 				this.membership.announce(performance.now());
 			},
 		});
