Estimate the load of a target from what it reports

What targets report of their load was only logged from rejections, and the load used for decisions was the requests that peers gossiped, up to 1.2 s old: about 60 times as long as a request of an application takes.

The newest report is kept for each target with its time. The requests of this instance since then are known exactly (TargetLoad of core); those of other senders end at the rate of the service and are replaced by its mean, so that the estimate of an old report approaches the mean with a growing deviation. Services whose targets report no fourth figure keep the former load, with deviation 0 and slowdown 1.

--- a/packages/core/src/common/placement/index.ts
+++ b/packages/core/src/common/placement/index.ts
@@ -8,4 +8,5 @@
 export * from './poolPlacer.js';
 export * from './ownerQueryLimiter.js';
 export * from './rendezvous.js';
+export { TargetLoad } from './targetLoad.js';
 export * from './warmUp.js';
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -7,6 +7,8 @@
 import { UNRESPONSIVE_AFTER_MS, TargetHealth } from './targetHealth.js';
 import { TargetBrittleness } from './targetBrittleness.js';
 import { TargetColdness } from './targetColdness.js';
+import type { LoadEstimate } from './targetLoadEstimate.js';
+import { TargetLoadEstimate } from './targetLoadEstimate.js';
 import type { TargetRecord } from './targetRecord.js';
 import { TargetRequestLimit } from './targetRequestLimit.js';
 
@@ -22,10 +24,13 @@
 	public readonly requestLimit = new TargetRequestLimit();
 	public readonly brittleness: TargetBrittleness;
 	public readonly coldness = new TargetColdness();
+	public readonly statedLoad: TargetLoadEstimate;
 	/** Whether the target has said something of its brittleness that cannot be read, so that this is logged once. */
 	public hasInvalidBrittleness = false;
 	/** Requests of this instance in flight on the target. */
 	public ownRequests = 0;
+	/** Requests that this instance has sent to the target. */
+	public sentRequests = 0;
 	/** Requests of the other instances in flight on the target, as last reported. */
 	public peerRequests = 0;
 	/** Prompt tokens that the target still has to prefill for requests of this instance. */
@@ -44,22 +49,31 @@
 	constructor(public record: TargetRecord) {
 		this.nameHash = hashTextTo32(record.id);
 		this.brittleness = new TargetBrittleness(record.slots, Math.random());
+		this.statedLoad = new TargetLoadEstimate(record.id, record.slots);
 	}
 
 	public get load(): number {
 		return this.ownRequests + this.peerRequests;
 	}
 
+	/** Estimates the load of all senders; equal to `load` unless the targets of the service report a fourth figure. */
+	public estimateLoad(nowMs: number): LoadEstimate {
+		return this.statedLoad.estimate(this.ownRequests, this.peerRequests, nowMs);
+	}
+
 	/** @param firstByteTimeMs time that the target may need until the first byte of the response */
 	public recordRequestSent(nowMs: number, firstByteTimeMs: number): void {
 		this.firstByteDueAtMs = Math.max(this.firstByteDueAtMs, nowMs + firstByteTimeMs + UNRESPONSIVE_AFTER_MS);
 		this.ownRequests += 1;
+		this.sentRequests += 1;
+		this.statedLoad.recordChange(1, nowMs);
 		this.requestLimit.consume(nowMs);
 		this.coldness.recordSent(nowMs);
 	}
 
-	public recordRequestEnded(): void {
+	public recordRequestEnded(nowMs: number): void {
 		this.ownRequests -= 1;
+		this.statedLoad.recordChange(-1, nowMs);
 	}
 
 	/** Prompt tokens that the target has to prefill before it can start with another prompt. */
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -4,6 +4,7 @@
 import { isZoneIn } from './homeRegions.js';
 import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
+import { ServiceLoad } from './serviceLoad.js';
 import type { TargetRecord } from './targetRecord.js';
 import { TargetState } from './targetState.js';
 import type { TargetListChange } from './targetView.js';
@@ -67,6 +68,7 @@
 	private evacuatedZones: ReadonlySet<string> = new Set();
 	/** No target is chosen before. */
 	private pausedUntilMs = -Infinity;
+	private readonly serviceLoads = new Map<string, ServiceLoad>();
 
 	constructor(
 		private readonly ownZone: string,
@@ -96,6 +98,7 @@
 				if (known !== undefined) {
 					state.coldness.copySends(known.coldness);
 				}
+				state.statedLoad.service = this.getServiceLoad(record.service);
 				this.states.set(record.id, state);
 			}
 		}
@@ -106,6 +109,9 @@
 			states.push(state);
 			this.byService.set(service, states);
 		}
+		for (const [service, load] of this.serviceLoads) {
+			load.setMembers((this.byService.get(service) ?? []).map(({ statedLoad }) => statedLoad.average));
+		}
 	}
 
 	/** Sets the zones to whose targets nothing is sent. */
@@ -135,6 +141,9 @@
 
 	/** Replaces the loads of the other instances. */
 	public setPeerLoads(peers: readonly (readonly TargetLoad[])[]): void {
+		for (const load of this.serviceLoads.values()) {
+			load.hearsPeers = peers.length > 0;
+		}
 		for (const state of this.states.values()) {
 			state.peerRequests = 0;
 			state.peerPrefillTokens = 0;
@@ -212,6 +221,15 @@
 		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
 	}
 
+	private getServiceLoad(service: string): ServiceLoad {
+		let load = this.serviceLoads.get(service);
+		if (load === undefined) {
+			load = new ServiceLoad();
+			this.serviceLoads.set(service, load);
+		}
+		return load;
+	}
+
 	/** A target that starts is as brittle as the others of its service until it says something else. */
 	private findBrittleness(service: string): number | undefined {
 		const states = this.byService.get(service) ?? [];
--- a/packages/gateway/src/node/runningAttempt.ts
+++ b/packages/gateway/src/node/runningAttempt.ts
@@ -37,10 +37,12 @@
 
 	/** Releases what the attempt occupies on the target. */
 	public end(isCompleted: boolean): void {
+		const nowMs = performance.now();
 		this.releasePrefillTokens();
-		this.target.recordRequestEnded();
+		this.target.recordRequestEnded(nowMs);
 		if (isCompleted) {
-			this.target.brittleness.recordEnd(performance.now() - this.startedAtMs);
+			this.target.brittleness.recordEnd(nowMs - this.startedAtMs);
+			this.target.statedLoad.service.recordResidence(nowMs - this.startedAtMs);
 		}
 	}
 }
--- a/packages/gateway/test/model/fleetModel.ts
+++ b/packages/gateway/test/model/fleetModel.ts
@@ -157,7 +157,7 @@
 		});
 		const decodeMs = MIN_DECODE_MS + DECODE_SPREAD_MS * uniformFloat64(this.random);
 		this.schedule(firstTokenMs + decodeMs, () => {
-			target.recordRequestEnded();
+			target.recordRequestEnded(this.nowMs);
 			engine.running -= 1;
 			this.running -= 1;
 		});
--- a/packages/gateway/test/model/recoveringTargets.test.ts
+++ b/packages/gateway/test/model/recoveringTargets.test.ts
@@ -108,7 +108,7 @@
 	}
 
 	private end(target: TargetState, isBad: boolean, nowMs: number, elapsedMs: number): void {
-		target.recordRequestEnded();
+		target.recordRequestEnded(nowMs);
 		if (isBad && this.failure === 'unreachable') {
 			target.health.recordConnectionFailure(nowMs, true);
 			return;
