Keep the load reports of targets, and gossip the newest with their age

Each answer of a target that reports a fourth figure updates the estimate of the instance that got it. It is gossiped as four numbers while it is the newest that this instance knows, younger than one interval of gossip and young enough to tell anything; the index of the target in the sorted list replaces its id. Invalid reports are ignored and logged once for each target.

The age of the report behind each choice, the requests sent to each target and the estimate in the path of requestEnded make the effect visible.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -74,6 +74,11 @@
 	readonly coldTargets?: readonly ColdTargetReport[] | undefined;
 	/** Number of instances, including this one, among which it divides what cold targets can handle. */
 	readonly rosterSize?: number | undefined;
+	/**
+	 * What targets reported of their load, in the numbers of `loadReportCodec.ts`; undefined from instances of an older
+	 * version and if there is nothing new.
+	 */
+	readonly targetReports?: readonly number[];
 	/** Prompts recently sent to engines that did not have all their shared parts cached. */
 	readonly prompts: readonly PromptUpdate[];
 	/** Total tokens of the shared prompt parts that this instance knows to be cached by engines. */
--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -1,6 +1,7 @@
 /** Writes the log events and metrics of one request. */
 import type { AttemptHistory } from '../common/attemptHistory.js';
 import type { Placement } from '../common/targetTable.js';
+import type { TargetState } from '../common/targetState.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
 
 export interface FailedAttempt {
@@ -27,7 +28,7 @@
 	public recordPlacement({ target, reason, meanLoad, cachedTokens }: Placement): void {
 		this.versions.push(target.record.version);
 		this.placements.push(
-			`${target.record.id}:${reason}:${target.load}/${meanLoad.toFixed(1)}:${cachedTokens}`,
+			`${target.record.id}:${reason}:${target.load}/${meanLoad.toFixed(1)}:${cachedTokens}${this.describeEstimate(target)}`,
 		);
 	}
 
@@ -55,6 +56,22 @@
 		});
 	}
 
+	/** Describes the estimate by which a target was chosen; empty if its service reports no fourth figure. */
+	private describeEstimate(target: TargetState): string {
+		const { statedLoad, record } = target;
+		if (!statedLoad.isInUse) {
+			return '';
+		}
+		const nowMs = performance.now();
+		const { requests, deviation, slowdown } = target.estimateLoad(nowMs);
+		const { report } = statedLoad;
+		if (report !== undefined) {
+			this.parts.metrics.observeReportAge(record.service, nowMs - report.reportedAtMs);
+		}
+		const age = report === undefined ? 'none' : Math.round(nowMs - report.reportedAtMs);
+		return `:${requests.toFixed(1)}~${deviation.toFixed(1)}x${slowdown.toFixed(1)}@${age}`;
+	}
+
 	/** Describes what requests that crash their targets may have in common. */
 	private describeContent(): Readonly<Record<string, string>> {
 		const { traits, request } = this.input;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -30,6 +30,7 @@
 import { EvacuationSync } from './evacuationSync.js';
 import { FleetMembership } from './fleetMembership.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { LoadReportSync } from './loadReportSync.js';
 import { PeerExchange } from './peerExchange.js';
 import { PromptCacheSync } from './promptCacheSync.js';
 import { RequestLimitSync } from './requestLimitSync.js';
@@ -115,6 +116,7 @@
 	private readonly brittlenessSync: BrittlenessSync;
 	private readonly evacuationSync: EvacuationSync;
 	private readonly coldTargetSync: ColdTargetSync;
+	private readonly loadReportSync: LoadReportSync;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -148,6 +150,11 @@
 			evacuatedZones: this.evacuationSync.zoneCount,
 			coldTargets: this.coldTargetSync.coldTargets,
 			droppedLogLines: dependencies.readDroppedLogLines(),
+			targetSends: [...this.targets.all].map(({ record, sentRequests }) => ({
+				service: record.service,
+				target: record.id,
+				requests: sentRequests,
+			})),
 		}));
 		this.client = new TargetClient({
 			codec,
@@ -174,6 +181,9 @@
 			onColdnessStated: (target, text) => {
 				this.coldTargetSync.recordStatement(target, text, performance.now());
 			},
+			onLoadStated: (target, text, isCounted) => {
+				this.loadReportSync.recordStatement(target, text, isCounted, performance.now());
+			},
 			onBackOffRequested: ({ record }, request) => {
 				this.metrics.countDecision('targetBackOff');
 				log.write('decision', 'targetBackOff', { target: record.id, ...request });
@@ -231,6 +241,12 @@
 				this.metrics.countDecision('targetCold');
 			},
 		});
+		this.loadReportSync = new LoadReportSync({
+			targets: this.targets,
+			view: this.view,
+			log,
+			countPeers: () => this.membership.peers.listAll().length,
+		});
 		this.streamOriginSync = new StreamOriginSync({
 			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
 			send: (controlAddress, message) => {
@@ -381,6 +397,7 @@
 			requestLimitSync: this.requestLimitSync,
 			evacuationSync: this.evacuationSync,
 			coldTargetSync: this.coldTargetSync,
+			loadReportSync: this.loadReportSync,
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -3,6 +3,8 @@
 
 /** Upper bounds of the latency buckets in seconds, in half decades around the objectives of 0.1 s to 2 s. */
 const LATENCY_BUCKETS = [0.01, 0.03, 0.06, 0.1, 0.2, 0.5, 1, 1.5, 2, 4, 6, 15];
+/** Around the times within which a report tells the load of requests of 21 ms and the speed of a shared machine. */
+const REPORT_AGE_BUCKETS = [0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 2.5];
 /** Observations are queued until the library is loaded, which happens at the first scrape or at this number. */
 const MAX_PENDING_OBSERVATIONS = 5000;
 
@@ -13,6 +15,13 @@
 	readonly evacuatedZones: number;
 	readonly coldTargets: number;
 	readonly droppedLogLines: number;
+	readonly targetSends: readonly TargetSends[];
+}
+
+export interface TargetSends {
+	readonly service: string;
+	readonly target: string;
+	readonly requests: number;
 }
 
 /** Response to a scrape. */
@@ -29,12 +38,14 @@
 			readonly stage: string;
 			readonly elapsedMs: number;
 	  }
+	| { readonly kind: 'reportAge'; readonly service: string; readonly ageMs: number }
 	| { readonly kind: 'decision'; readonly event: string };
 
 interface LoadedMetrics {
 	readonly registry: Registry;
 	readonly ended: Counter<'route' | 'outcome'>;
 	readonly latency: Histogram<'kind' | 'stage'>;
+	readonly reportAge: Histogram<'service'>;
 	readonly decisions: Counter<'event'>;
 }
 
@@ -56,6 +67,11 @@
 		this.observe({ kind: 'latency', requestKind, stage, elapsedMs });
 	}
 
+	/** Observes how old the newest load report of a chosen target is. */
+	public observeReportAge(service: string, ageMs: number): void {
+		this.observe({ kind: 'reportAge', service, ageMs });
+	}
+
 	public countDecision(event: string): void {
 		this.observe({ kind: 'decision', event });
 	}
@@ -99,6 +115,9 @@
 			metrics.latency.observe({ kind: requestKind, stage }, elapsedMs / 1000);
 			return;
 		}
+		case 'reportAge':
+			metrics.reportAge.observe({ service: observation.service }, observation.ageMs / 1000);
+			return;
 		case 'decision':
 			metrics.decisions.inc({ event: observation.event });
 			return;
@@ -129,6 +148,19 @@
 	add('papayawell_evacuated_zones', 'Zones to whose targets nothing is sent.', (g) => g.evacuatedZones);
 	add('papayawell_cold_targets', 'Targets that are treated as cold.', (g) => g.coldTargets);
 	add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
+	new Gauge({
+		name: 'papayawell_target_sends',
+		help: 'Requests sent to each listed target.',
+		labelNames: ['service', 'target'],
+		registers,
+		collect() {
+			// Targets that left are dropped, so that their ids do not accumulate.
+			this.reset();
+			for (const { service, target, requests } of readGauges().targetSends) {
+				this.set({ service, target }, requests);
+			}
+		},
+	});
 	return {
 		registry,
 		ended: new Counter({
@@ -144,6 +176,13 @@
 			buckets: LATENCY_BUCKETS,
 			registers,
 		}),
+		reportAge: new Histogram({
+			name: 'papayawell_load_report_age_seconds',
+			help: 'Age of the newest load report of the target that was chosen, by service.',
+			labelNames: ['service'],
+			buckets: REPORT_AGE_BUCKETS,
+			registers,
+		}),
 		decisions: new Counter({
 			name: 'papayawell_decisions_total',
 			help: 'Decisions by event.',
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -10,6 +10,7 @@
 import type { ConfigurationSync } from './configurationSync.js';
 import type { CrashTracker } from './crashTracker.js';
 import type { EvacuationSync } from './evacuationSync.js';
+import type { LoadReportSync } from './loadReportSync.js';
 import type { PromptCacheSync } from './promptCacheSync.js';
 import type { RequestLimitSync } from './requestLimitSync.js';
 import type { TargetListSync } from './targetListSync.js';
@@ -27,6 +28,7 @@
 	readonly requestLimitSync: RequestLimitSync;
 	readonly evacuationSync: EvacuationSync;
 	readonly coldTargetSync: ColdTargetSync;
+	readonly loadReportSync: LoadReportSync;
 	readonly isServing: () => boolean;
 	/** Whether this instance reaches targets itself. */
 	readonly hasTargetPath: () => boolean;
@@ -59,6 +61,7 @@
 			...(evacuations === undefined ? {} : { evacuations }),
 			coldTargets: this.parts.coldTargetSync.listReports(nowMs),
 			rosterSize: this.parts.coldTargetSync.rosterSize,
+			targetReports: this.parts.loadReportSync.listReports(nowMs),
 		};
 	}
 
@@ -99,6 +102,7 @@
 		crashTracker.adoptPeerState(state, nowMs);
 		this.parts.requestLimitSync.adopt(state.targetLimits ?? [], nowMs);
 		this.parts.coldTargetSync.adoptPeerState(state, nowMs);
+		this.parts.loadReportSync.adopt(state, nowMs);
 	}
 
 	private listLoads(): readonly TargetLoad[] {
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -66,6 +66,7 @@
 		(state.evacuations === undefined || isEvacuationReport(state.evacuations)) &&
 		isOptionalList(state.coldTargets, isColdTargetReport) &&
 		(state.rosterSize === undefined || Number.isSafeInteger(state.rosterSize)) &&
+		isOptionalList(state.targetReports, isCount) &&
 		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
@@ -79,6 +80,10 @@
 	return value === undefined || (Array.isArray(value) && value.every(isItem));
 }
 
+function isCount(value: unknown): boolean {
+	return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 function isTargetStart(value: unknown): boolean {
 	return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1]);
 }
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -74,6 +74,12 @@
 	 * @param text for how long it stays cold; undefined if it does not tell
 	 */
 	readonly onColdnessStated: (target: TargetState, text: string | undefined) => void;
+	/**
+	 * Called when a target says in a response how loaded it is.
+	 * @param text undefined if it does not tell
+	 * @param isCounted whether the request is still on the target
+	 */
+	readonly onLoadStated: (target: TargetState, text: string | undefined, isCounted: boolean) => void;
 	/** Called when a target that rejects a request states, validly or not, for how long it wants no further one. */
 	readonly onBackOffRequested: (target: TargetState, request: BackOffRequest) => void;
 }
@@ -222,8 +228,8 @@
 
 	/** Handles what the target says of itself. It applies to the start of the target that the request was sent to. */
 	private handleTargetState(status: number, facts: TargetResponseInfo, nowMs: number): void {
-		const { onBackOffRequested, onBrittlenessStated, onColdnessStated, onLimitStated, onTargetLeaving } =
-			this.options;
+		const { onBackOffRequested, onBrittlenessStated, onColdnessStated } = this.options;
+		const { onLimitStated, onLoadStated, onTargetLeaving } = this.options;
 		if (facts.isLeaving) {
 			onTargetLeaving(this.target);
 		}
@@ -232,6 +238,9 @@
 			const isRejection = facts.isNotRun && status === HTTP_SERVICE_UNAVAILABLE;
 			onBrittlenessStated(this.target, facts.brittleness, isRejection);
 			onColdnessStated(this.target, facts.coldTime);
+			// The head of a stream precedes its events; that of another answer follows the work.
+			const isStream = this.outgoing.request.prompt.length > 0;
+			onLoadStated(this.target, facts.load, isStream && !facts.isNotRun);
 		}
 		if (status !== HTTP_SERVICE_UNAVAILABLE) {
 			return;
--- a/packages/gateway/test/node/gatewayMetrics.test.ts
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -10,17 +10,21 @@
 			evacuatedZones: 0,
 			coldTargets: 0,
 			droppedLogLines: 0,
+			targetSends: [{ service: 's', target: 'x', requests: 4 }],
 		};
 		const metrics = new GatewayMetrics(() => gauges);
 		metrics.countRequest('read', 'answered');
 		metrics.observeLatency('idempotent', 'whole', 50);
 		metrics.countDecision('retry');
+		metrics.observeReportAge('s', 50);
 		await metrics.render();
 		metrics.countRequest('read', 'answered');
 		const { text } = await metrics.render();
 		expect(text).to.contain('papayawell_requests_total{route="read",outcome="answered"} 2');
 		expect(text).to.contain('papayawell_answer_seconds_bucket{le="0.06",kind="idempotent",stage="whole"} 1');
 		expect(text).to.contain('papayawell_decisions_total{event="retry"} 1');
+		expect(text).to.contain('papayawell_load_report_age_seconds_bucket{le="0.05",service="s"} 1');
+		expect(text).to.contain('papayawell_target_sends{service="s",target="x"} 4');
 		expect(text).to.contain('papayawell_configuration_version 7');
 		expect(text).to.contain('papayawell_targets_age_seconds 0.5');
 	});
