Choose targets by their load reports, at the speed that they state

Where targets report a fourth figure, each choice now draws two targets at random by the root of their speed, draws the load of both from the estimate and its deviation, and takes the one on which the request would end first within a load limit of 1.5 x mean + 2. The time to the response head is divided by the stated slowdown, so that a moment's slowness does not count for longer than its report is young.

Cache-aware placement counts the requests of an engine by its slowness relative to the others, its prefill at its own speed, and passes over a cached prefix if another engine has the first event 1.25 times as soon.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -28,6 +28,12 @@
 /** How much more than on the engine with the shortest wait a long prompt may wait, as a share of the limit. */
 const LONG_PROMPT_MARGIN_SHARE = 0.4;
 
+/**
+ * An engine with more of the prompt cached is passed over if another one has its first event this much sooner at its own
+ * speed. A prefix is then prefilled, and takes memory, a second time.
+ */
+const FASTER_ELSEWHERE_RATIO = 1.25;
+
 /** Time to fetch cached tokens from another engine, relative to the time to prefill them. */
 const FETCH_TIME_RATIO = 0.3;
 /** Fewest tokens for which a fetch is worth its set-up. */
@@ -56,10 +62,15 @@
 interface Candidate {
 	readonly target: TargetState;
 	readonly cachedTokens: number;
+	/** Requests on the engine, more if it is slower than the others. */
+	readonly load: number;
 	readonly isWithinLoadLimit: boolean;
 	/** Whether the engine is within the load limit of a prompt that it has cached. */
 	readonly isWithinCachedLoadLimit: boolean;
-	/** Tokens to prefill before the first event, including those of the prompts queued before. */
+	/**
+	 * Tokens that an engine of usual speed would prefill in the time until the first event, including those of the prompts
+	 * queued before.
+	 */
 	readonly prefillTokens: number;
 }
 
@@ -79,9 +90,16 @@
 	request: CacheRequest,
 	sources: readonly TargetState[],
 	meanLoad: number,
+	nowMs: number,
 ): CacheChoice | undefined {
 	const source = findSource(sources, request.prompt);
-	const candidates = targets.map((target) => buildCandidate(target, request.prompt, source, meanLoad));
+	const estimates = targets.map((target) => target.estimateLoad(nowMs));
+	const meanSlowdown = estimates.reduce((sum, { slowdown }) => sum + slowdown, 0) / estimates.length;
+	const candidates = targets.map((target, index) => {
+		const { requests, slowdown } = estimates[index] ?? target.estimateLoad(nowMs);
+		const load = requests * Math.max(1, slowdown / meanSlowdown);
+		return buildCandidate(target, request.prompt, source, meanLoad, load, slowdown);
+	});
 	const choice = chooseCandidate(candidates, request);
 	if (choice === undefined) {
 		return undefined;
@@ -96,15 +114,18 @@
 ): Omit<CacheChoice, 'cacheSource'> | undefined {
 	const withinLoadLimit = candidates.filter(({ isWithinLoadLimit }) => isWithinLoadLimit);
 	if (withinLoadLimit.length === 0) {
-		return findLowest(candidates, ({ target }) => target.load);
+		return findLowest(candidates, ({ load }) => load);
 	}
 	const prefillLimit = computePrefillLimit(withinLoadLimit, objectiveMs);
 	const withinObjective = withinLoadLimit.filter(({ prefillTokens }) => prefillTokens <= prefillLimit);
 	const cached = findMostCached(withinObjective);
 	const isSharedPrefixCached = cached.cachedTokens >= countSharedTokens(chain);
-	const choice = isSharedPrefixCached
-		? cached
-		: chooseUncached(candidates, withinObjective, prefillLimit, chain);
+	const faster = listFaster(withinObjective, cached);
+	const choice = !isSharedPrefixCached
+		? chooseUncached(candidates, withinObjective, prefillLimit, chain)
+		: faster.length === 0
+			? cached
+			: pickByPrefixHash(faster, candidates.length, chain);
 	return { ...choice, isOverflow: choice.cachedTokens < findMostCached(candidates).cachedTokens };
 }
 
@@ -136,12 +157,21 @@
 		: pickByPrefixHash(withinObjective, candidates.length, chain);
 }
 
+/**
+ * Lists the candidates on which the first event comes so much sooner that it is worth another copy of the prefix. Only
+ * load reports tell the speed of an engine.
+ */
+function listFaster(candidates: readonly Candidate[], cached: Candidate): readonly Candidate[] {
+	return cached.target.statedLoad.isInUse
+		? candidates.filter(({ prefillTokens }) => FASTER_ELSEWHERE_RATIO * prefillTokens < cached.prefillTokens)
+		: [];
+}
+
 /** Returns the candidate with the most cached tokens; among equals the one with the lowest load. */
 function findMostCached(candidates: readonly Candidate[]): Candidate {
 	return candidates.reduce((best, candidate) => {
 		const isEqual = candidate.cachedTokens === best.cachedTokens;
-		const isBetter =
-			candidate.cachedTokens > best.cachedTokens || (isEqual && candidate.target.load < best.target.load);
+		const isBetter = candidate.cachedTokens > best.cachedTokens || (isEqual && candidate.load < best.load);
 		return isBetter ? candidate : best;
 	});
 }
@@ -172,19 +202,21 @@
 	prompt: PromptChain,
 	source: CacheSource | undefined,
 	meanLoad: number,
+	load: number,
+	slowdown: number,
 ): Candidate {
 	const cachedTokens = target.prefixCache.countCachedTokens(prompt);
 	const savedShare = Math.min(1, cachedTokens / MAX_LIMIT_CACHED_TOKENS);
 	const loadFactor = BASE_LOAD_FACTOR + (MAX_LOAD_FACTOR - BASE_LOAD_FACTOR) * savedShare;
 	const loadSlack = BASE_LOAD_SLACK + (MAX_LOAD_SLACK - BASE_LOAD_SLACK) * savedShare;
-	const { load } = target;
 	const { slots } = target.record;
 	const uncachedTokens = countTokens(prompt) - cachedTokens;
 	const fetchSavingTokens = (1 - FETCH_TIME_RATIO) * countFetchedTokens(source, cachedTokens);
-	const prefillTokens = target.prefillTokens + uncachedTokens - fetchSavingTokens;
+	const prefillTokens = slowdown * (target.prefillTokens + uncachedTokens - fetchSavingTokens);
 	return {
 		target,
 		cachedTokens,
+		load,
 		isWithinLoadLimit: load + 1 <= Math.min(slots, loadFactor * meanLoad + loadSlack),
 		isWithinCachedLoadLimit: load + 1 <= Math.min(slots, MAX_LOAD_FACTOR * meanLoad + MAX_LOAD_SLACK),
 		prefillTokens,
--- a/packages/gateway/src/common/serviceLoad.ts
+++ b/packages/gateway/src/common/serviceLoad.ts
@@ -6,13 +6,15 @@
 const DEFAULT_RESIDENCE_MS = 100;
 /** Time constant of the moving average of a target's load: several bursts of arrivals, but less than a surge. */
 const AVERAGE_MS = 1000;
+/** An average that is so much older than the newest one is that of a target that is out of use. */
+const AVERAGE_VALID_MS = 5000;
 /** Interval at which the mean of the targets is computed again, since each choice reads it for each target. */
 const MEAN_INTERVAL_MS = 100;
 
 /** Average load of one target by senders other than this instance. */
 export class AverageLoad {
 	private average: number | undefined;
-	private updatedAtMs = -Infinity;
+	private latestAtMs = -Infinity;
 
 	constructor(public readonly slots: number) {}
 
@@ -21,11 +23,16 @@
 		return this.average;
 	}
 
+	/** Time of the newest report. */
+	public get updatedAtMs(): number {
+		return this.latestAtMs;
+	}
+
 	public record(requests: number, atMs: number): void {
 		const average = this.average ?? requests;
-		const weight = 1 - Math.exp(-Math.max(0, atMs - this.updatedAtMs) / AVERAGE_MS);
+		const weight = 1 - Math.exp(-Math.max(0, atMs - this.latestAtMs) / AVERAGE_MS);
 		this.average = average + weight * (requests - average);
-		this.updatedAtMs = Math.max(this.updatedAtMs, atMs);
+		this.latestAtMs = Math.max(this.latestAtMs, atMs);
 	}
 }
 
@@ -57,7 +64,13 @@
 	/** Mean requests per slot by other senders; undefined before the first report of any target. */
 	public computeMeanPerSlot(nowMs: number): number | undefined {
 		if (nowMs - this.computedAtMs >= MEAN_INTERVAL_MS) {
-			const known = this.members.filter(({ requests }) => requests !== undefined);
+			const newestMs = this.members.reduce(
+				(latest, { updatedAtMs }) => Math.max(latest, updatedAtMs),
+				-Infinity,
+			);
+			const known = this.members.filter(
+				({ requests, updatedAtMs }) => requests !== undefined && newestMs - updatedAtMs <= AVERAGE_VALID_MS,
+			);
 			const slots = known.reduce((sum, member) => sum + member.slots, 0);
 			const total = known.reduce((sum, { requests }) => sum + (requests ?? 0), 0);
 			this.meanPerSlot = slots === 0 ? undefined : total / slots;
--- a/packages/gateway/src/common/targetLoadEstimate.ts
+++ b/packages/gateway/src/common/targetLoadEstimate.ts
@@ -1,7 +1,7 @@
 /**
  * Estimates the load of one target from its newest report. The requests of this instance that were sent and that ended
  * since then are known. Those of other senders end at the rate at which requests leave the target, and are replaced at
- * the rate of the service, so that an old report says no more than the mean of the service.
+ * its usual rate, which is taken to be that of the service if the report is old.
  */
 import { TargetLoad as ReportedLoad } from '@papayawell/core';
 import { AverageLoad, ServiceLoad } from './serviceLoad.js';
@@ -13,6 +13,8 @@
 export const SLOWDOWN_VALID_MS = 600;
 /** Typical age of the loads that peers gossip: half of the interval between two messages of a peer at 77 instances. */
 const PEER_LOAD_AGE_MS = 600;
+/** Time constant with which the usual load of a target turns into the mean of its service without a report. */
+const USUAL_LOAD_MS = 1000;
 
 export interface LoadEstimate {
 	/** Requests on the target from all senders. */
@@ -102,7 +104,7 @@
 	}
 
 	/** Estimates by which factor work takes longer than usual. */
-	private estimateSlowdown(nowMs: number): number {
+	public estimateSlowdown(nowMs: number): number {
 		const { slowdown = 1, reportedAtMs } = this.newest ?? { reportedAtMs: nowMs };
 		return 1 + (slowdown - 1) * Math.max(0, 1 - Math.max(0, nowMs - reportedAtMs) / SLOWDOWN_VALID_MS);
 	}
@@ -128,7 +130,9 @@
 			return peerRequests;
 		}
 		const mean = meanPerSlot * this.average.slots;
+		const ageMs = Math.max(0, nowMs - (this.newest?.reportedAtMs ?? -Infinity));
+		const usual = mean + Math.exp(-ageMs / USUAL_LOAD_MS) * ((this.average.requests ?? mean) - mean);
 		const peerShare = hearsPeers ? Math.exp(-PEER_LOAD_AGE_MS / residenceMs) : 0;
-		return peerShare * peerRequests + (1 - peerShare) * mean;
+		return peerShare * peerRequests + (1 - peerShare) * usual;
 	}
 }
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -107,9 +107,11 @@
 	}
 
 	public recordTimeToHead(elapsedMs: number, nowMs: number): void {
-		const averageMs = this.averageTimeToHeadMs === 0 ? elapsedMs : this.averageTimeToHeadMs;
+		// What the target reports of its slowness counts by itself, and only while it is young.
+		const usualMs = elapsedMs / (this.statedLoad.isInUse ? this.statedLoad.estimateSlowdown(nowMs) : 1);
+		const averageMs = this.averageTimeToHeadMs === 0 ? usualMs : this.averageTimeToHeadMs;
 		const weight = Math.max(TIME_TO_HEAD_WEIGHT, 1 - this.computeRetention(nowMs));
-		this.averageTimeToHeadMs = averageMs + weight * (elapsedMs - averageMs);
+		this.averageTimeToHeadMs = averageMs + weight * (usualMs - averageMs);
 		this.respondedAtMs = nowMs;
 	}
 
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -5,6 +5,7 @@
 import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
 import { ServiceLoad } from './serviceLoad.js';
+import { chooseByDrawnLoad } from './targetChoice.js';
 import type { TargetRecord } from './targetRecord.js';
 import { TargetState } from './targetState.js';
 import type { TargetListChange } from './targetView.js';
@@ -15,6 +16,13 @@
 const ZONE_COST_SLOTS = 10;
 /** Utilization added to each target. Without it the response time of idle targets would not count. */
 const BASE_UTILIZATION = 0.2;
+/**
+ * Cost of a target in another availability zone by which a target is chosen on load reports, in times of a request: a
+ * round trip of 3 to 10 ms against about 21 ms of work, of which the time to the response head already shows a part.
+ */
+const CROSS_ZONE_TIME = 0.1;
+/** Differences of the time to the response head below this factor are the spread of single requests. */
+const MIN_SPEED_RATIO = 1.3;
 /** Random part of the cost, so that instances with equal information do not all choose the same target. */
 const RANDOM_COST = 0.02;
 
@@ -207,13 +215,13 @@
 		if (candidates.length === 0) {
 			return this.chooseLastResort(serving, request, nowMs);
 		}
-		const meanLoad = live.reduce((sum, { load }) => sum + load, 0) / live.length;
+		const meanLoad = live.reduce((sum, target) => sum + target.estimateLoad(nowMs).requests, 0) / live.length;
 		if (request.prompt.length === 0) {
 			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
 		}
 		// Cached prompts can still be fetched from a leaving target.
 		const sources = request.hasCacheTransfer ? all.filter((target) => isReachable(target, nowMs)) : [];
-		const choice = chooseByCachedPrefix(candidates, request, sources, meanLoad);
+		const choice = chooseByCachedPrefix(candidates, request, sources, meanLoad, nowMs);
 		if (choice === undefined) {
 			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
 		}
@@ -279,7 +287,7 @@
 		nowMs: number,
 	): Placement {
 		return {
-			target: this.findLowestCost(candidates, nowMs),
+			target: this.findByReports(candidates, meanLoad, nowMs) ?? this.findLowestCost(candidates, nowMs),
 			reason,
 			meanLoad,
 			cachedTokens: 0,
@@ -287,12 +295,29 @@
 		};
 	}
 
+	/** Finds a target by the load reports of the service; undefined if its targets report no fourth figure. */
+	private findByReports(
+		candidates: readonly TargetState[],
+		meanLoad: number,
+		nowMs: number,
+	): TargetState | undefined {
+		if (candidates[0]?.statedLoad.isInUse !== true) {
+			return undefined;
+		}
+		const fastestMs = findFastest(candidates);
+		const choices = candidates.map((target) => ({
+			target,
+			estimate: target.estimateLoad(nowMs),
+			slots: target.record.slots,
+			relativeTime: Math.max(1, target.computeSlowdown(fastestMs, nowMs) / MIN_SPEED_RATIO),
+			extraCost: target.record.zone === this.ownZone ? 0 : CROSS_ZONE_TIME,
+		}));
+		return chooseByDrawnLoad(choices, meanLoad, Math.random);
+	}
+
 	/** Finds the target with the lowest cost by load, response time and availability zone. */
 	private findLowestCost(candidates: readonly TargetState[], nowMs: number): TargetState {
-		const timesToHeadMs = candidates
-			.map(({ timeToHeadMs }) => timeToHeadMs)
-			.filter((timeMs) => timeMs !== undefined);
-		const fastestMs = timesToHeadMs.length === 0 ? 1 : Math.min(...timesToHeadMs);
+		const fastestMs = findFastest(candidates);
 		return findLowest(candidates, (target) => {
 			const zoneCost = target.record.zone === this.ownZone ? 0 : CROSS_ZONE_COST;
 			const slowdown = target.computeSlowdown(fastestMs, nowMs);
@@ -304,6 +329,12 @@
 	}
 }
 
+/** Returns the shortest average time to the response head, in ms; 1 if none is known. */
+function findFastest(targets: readonly TargetState[]): number {
+	const timesMs = targets.map(({ timeToHeadMs }) => timeToHeadMs).filter((timeMs) => timeMs !== undefined);
+	return timesMs.length === 0 ? 1 : Math.min(...timesMs);
+}
+
 function selectHealthy(live: readonly TargetState[], nowMs: number): TargetState[] {
 	const lowestFailureRate = live.reduce((lowest, { health }) => Math.min(lowest, health.failureRate), 1);
 	return live.filter(({ health, ownRequests }) => !health.isOutlier(lowestFailureRate, ownRequests, nowMs));
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -120,4 +120,40 @@
 		table.applyChange({ added: [], changed: [makeRecord('x', { startedAtMs: 2 })], removed: [] });
 		expect(table.choose(REQUEST, 100)?.reason).to.equal('leastLoaded');
 	});
+
+	/** Counts the choices of `x`, which is busy by its own report, of `x` and `y`, which is busy by the requests of peers. */
+	function countChoices(slowdown: number | undefined, nowMs: number): number {
+		const table = makeTable('x', 'y');
+		for (const [id, requests] of [
+			['x', 70],
+			['y', 0],
+		] as const) {
+			table.find(id)?.statedLoad.record({ requests, slowdown, reportedAtMs: 0, isOwn: true }, 0);
+		}
+		table.setPeerLoads([[['y', 30, 0]]]);
+		return Array.from({ length: 200 }, () => choose(table, {}, nowMs)).filter((id) => id === 'x').length;
+	}
+
+	// Guards against a change for deployments whose targets report no fourth figure.
+	it('three figures: chooses by the requests of the instances alone; four: by the reports, while they are young', () => {
+		expect(countChoices(undefined, 0)).to.equal(200);
+		expect(countChoices(1, 0)).to.equal(0);
+		expect(countChoices(1, 60_000)).to.be.within(60, 140);
+	});
+
+	// Guards against a target that is slow for a moment and gets its share of the requests all the same.
+	it('a slow target gets fewer requests while its report is young, and its share again afterwards', () => {
+		const table = makeTable('x', 'y', 'z');
+		for (const [id, slowdown] of [
+			['x', 4],
+			['y', 1],
+			['z', 1],
+		] as const) {
+			table.find(id)?.statedLoad.record({ requests: 1, slowdown, reportedAtMs: 0, isOwn: true }, 0);
+		}
+		const count = (nowMs: number): number =>
+			Array.from({ length: 300 }, () => choose(table, {}, nowMs)).filter((id) => id === 'x').length;
+		expect(count(0)).to.be.below(20);
+		expect(count(700)).to.be.within(50, 150);
+	});
 });
