Bound the room of brittle targets by the load that they report

Cause: while nothing was rejected the estimated room grew far beyond the slots; when targets let fewer requests wait, it shrank by a fifth at a time while they rejected thousands of requests and crashed. The load that a rejection reports was not used. Change: after a rejection the room is at most 1.25 times what the target held, for all instances; it does not grow while answers show that enough requests wait to keep the slots in use.

--- a/packages/gateway/src/common/peerMessage.ts
+++ b/packages/gateway/src/common/peerMessage.ts
@@ -11,6 +11,8 @@
 	readonly startedAtMs: number;
 	/** Requests that the target may have to reject in a second. */
 	readonly rejectionsPerSecond: number;
+	/** Requests that the target held then; undefined if it does not tell, and from instances of an older version. */
+	readonly held?: number | undefined;
 }
 
 /** A sign of life between two states, in fleets in which states come seldom. */
@@ -102,7 +104,8 @@
 			return (
 				typeof message.target === 'string' &&
 				Number.isSafeInteger(message.startedAtMs) &&
-				typeof message.rejectionsPerSecond === 'number'
+				typeof message.rejectionsPerSecond === 'number' &&
+				(message.held === undefined || (Number.isSafeInteger(message.held) && Number(message.held) >= 0))
 			);
 		case 'cold':
 			return (
--- a/packages/gateway/src/common/targetBrittleness.ts
+++ b/packages/gateway/src/common/targetBrittleness.ts
@@ -11,11 +11,23 @@
 const MIN_GROWTH_PAUSE_MS = 500;
 /** What is left of the room after a rejection. */
 const DECREASE_FACTOR = 0.8;
+/**
+ * Limit of the room after a rejection, relative to the requests that the target held. Instances that are cut off or have
+ * no callers do not use their parts; with a factor of 1, 0.58 of the capacity was used where 0.6 is wanted.
+ */
+const FULL_ROOM_FACTOR = 1.25;
 /** Rejections within this time have the same cause. */
 const REJECTION_CLUSTER_MS = 100;
 /** While it limits requests, the room grows by this part of the slots at these intervals. */
 const GROWTH_SHARE = 1 / 16;
 const GROWTH_INTERVAL_MS = 250;
+/** Waiting requests, as a part of the slots, that keep all slots in use while the next ones are on their way. */
+const SPARE_WAITING_SHARE = 1 / 4;
+/** Weight of the latest report in the moving average of the requests that a target holds. */
+const HELD_WEIGHT = 0.1;
+/** How long such a report counts: the next one comes when an instance with few requests gets its next answer. */
+const MIN_REPORT_VALIDITY_MS = 1000;
+const REPORT_VALIDITY_RESIDENCES = 2;
 /** Shortest time in which each instance comes in turn for the fraction of a request in its part of the room. */
 const MIN_ROTATION_MS = 4000;
 /** The same in times of a request on the target, since those of an instance whose turn is over still use room. */
@@ -40,6 +52,10 @@
 	private fullUntilMs = -Infinity;
 	private averageResidenceMs: number | undefined;
 	private turnedAtMs: number | undefined;
+	/** Moving average of the requests that the target held when it answered; undefined if it does not tell. */
+	private averageHeld: number | undefined;
+	/** Until then a report that enough requests wait on the target keeps its room from growing. */
+	private sufficientUntilMs = -Infinity;
 
 	/** @param turn random number in [0, 1), which determines when it is the turn of this instance */
 	constructor(
@@ -64,15 +80,34 @@
 		return isNew;
 	}
 
-	/** Records that the target rejected a request, of this instance or of another. */
-	public recordRejection(nowMs: number): void {
+	/**
+	 * Records that the target rejected a request, of this instance or of another.
+	 * @param held requests that ran or waited on it then; undefined if it does not tell
+	 */
+	public recordRejection(nowMs: number, held: number | undefined): void {
+		const previousRoom = this.room;
 		if (nowMs - this.decreasedAtMs > REJECTION_CLUSTER_MS) {
 			this.decreasedAtMs = nowMs;
-			this.room = Math.max(1, DECREASE_FACTOR * this.room);
+			this.room *= DECREASE_FACTOR;
 		}
+		// What it held when it was full is all the room that it has, however far the estimate is from that.
+		this.room = Math.max(1, Math.min(this.room, FULL_ROOM_FACTOR * (held ?? Infinity)));
 		this.nextGrowthMs = nowMs + this.computeGrowthPause();
 		// Until as many requests have ended as the room has shrunk by, those that fill it are sent already.
-		this.fullUntilMs = nowMs + (1 - DECREASE_FACTOR) * this.residenceMs;
+		const freedShare = Math.max(1 - DECREASE_FACTOR, 1 - this.room / previousRoom);
+		this.fullUntilMs = Math.max(this.fullUntilMs, nowMs + freedShare * this.residenceMs);
+	}
+
+	/**
+	 * Records how many requests ran or waited on the target when it answered one. While enough wait to keep all slots in
+	 * use, more room would only fill its queue, and how long that may be can change at any time.
+	 */
+	public recordHeld(held: number, nowMs: number): void {
+		const averageHeld = this.averageHeld ?? held;
+		this.averageHeld = averageHeld + HELD_WEIGHT * (held - averageHeld);
+		const isEnough = this.averageHeld > this.slots + Math.max(1, SPARE_WAITING_SHARE * this.slots);
+		const validityMs = Math.max(MIN_REPORT_VALIDITY_MS, REPORT_VALIDITY_RESIDENCES * this.residenceMs);
+		this.sufficientUntilMs = isEnough ? nowMs + validityMs : -Infinity;
 	}
 
 	/** Records for how long the target had a request that it answered. */
@@ -89,7 +124,7 @@
 		if (this.bearable === undefined || this.hasRoom(ownRequests, nowMs)) {
 			return 0;
 		}
-		if (this.hearsOthers && nowMs >= this.nextGrowthMs) {
+		if (this.hearsOthers && nowMs >= Math.max(this.nextGrowthMs, this.sufficientUntilMs)) {
 			this.room += Math.max(1, GROWTH_SHARE * this.slots);
 			this.nextGrowthMs = nowMs + GROWTH_INTERVAL_MS;
 		}
--- a/packages/gateway/src/node/brittlenessSync.ts
+++ b/packages/gateway/src/node/brittlenessSync.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from '../common/eventLog.js';
 import type { RejectionMessage } from '../common/peerMessage.js';
 import { parseStatedRate } from '../common/statedRate.js';
+import { parseStatedLoad } from '../common/targetLoadReport.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
 
@@ -32,11 +33,15 @@
 		}
 	}
 
-	/** Records what a target says in a response, and whether it rejected the request with it. */
+	/**
+	 * Records what a target says in a response, and whether it rejected the request with it.
+	 * @param load the target's load report; undefined if the response carries none
+	 */
 	public recordStatement(
 		target: TargetState,
 		text: string | undefined,
 		isRejection: boolean,
+		load: string | undefined,
 		nowMs: number,
 	): void {
 		const statement = parseStatedRate(text);
@@ -50,28 +55,36 @@
 			case 'none':
 				this.state(target, undefined);
 				return;
-			case 'rate':
+			case 'rate': {
 				this.state(target, statement.requestsPerSecond);
+				const stated = parseStatedLoad(load, target.record.slots);
+				const held = stated.kind === 'load' ? stated.requests : undefined;
+				if (!isRejection && held !== undefined) {
+					target.brittleness.recordHeld(held, nowMs);
+				}
 				if (isRejection) {
-					target.brittleness.recordRejection(nowMs);
+					target.brittleness.recordRejection(nowMs, held);
 					const { id, startedAtMs } = target.record;
 					this.parts.broadcast({
 						kind: 'rejection',
 						target: id,
 						startedAtMs,
 						rejectionsPerSecond: statement.requestsPerSecond,
+						held,
 					});
 				}
 				return;
+			}
 		}
 	}
 
 	/** Adopts that a target rejected a request of another instance. */
-	public adopt({ target: id, startedAtMs, rejectionsPerSecond }: RejectionMessage, nowMs: number): void {
+	public adopt(message: RejectionMessage, nowMs: number): void {
+		const { target: id, startedAtMs, rejectionsPerSecond, held } = message;
 		const target = this.parts.targets.find(id);
 		if (target?.record.startedAtMs === startedAtMs) {
 			this.state(target, rejectionsPerSecond);
-			target.brittleness.recordRejection(nowMs);
+			target.brittleness.recordRejection(nowMs, held);
 		}
 	}
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -175,8 +175,8 @@
 			onLimitStated: (target, text) => {
 				this.requestLimitSync.recordStatement(target, text, performance.now());
 			},
-			onBrittlenessStated: (target, text, isRejection) => {
-				this.brittlenessSync.recordStatement(target, text, isRejection, performance.now());
+			onBrittlenessStated: (target, text, isRejection, load) => {
+				this.brittlenessSync.recordStatement(target, text, isRejection, load, performance.now());
 			},
 			onColdnessStated: (target, text) => {
 				this.coldTargetSync.recordStatement(target, text, performance.now());
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -67,8 +67,14 @@
 	 * Called when a target says in a response whether it is brittle.
 	 * @param text requests that it may have to reject in a second; undefined if it is not brittle
 	 * @param isRejection whether the target rejected the request, so that it has not run
+	 * @param load its load report; undefined if the response carries none
 	 */
-	readonly onBrittlenessStated: (target: TargetState, text: string | undefined, isRejection: boolean) => void;
+	readonly onBrittlenessStated: (
+		target: TargetState,
+		text: string | undefined,
+		isRejection: boolean,
+		load: string | undefined,
+	) => void;
 	/**
 	 * Called when a target has responded.
 	 * @param text for how long it stays cold; undefined if it does not tell
@@ -236,7 +242,7 @@
 		if (facts.isSigned || facts.isNotRun) {
 			onLimitStated(this.target, facts.requestLimit);
 			const isRejection = facts.isNotRun && status === HTTP_SERVICE_UNAVAILABLE;
-			onBrittlenessStated(this.target, facts.brittleness, isRejection);
+			onBrittlenessStated(this.target, facts.brittleness, isRejection, facts.load);
 			onColdnessStated(this.target, facts.coldTime);
 			// The head of a stream precedes its events; that of another answer follows the work.
 			const isStream = this.outgoing.request.prompt.length > 0;
--- a/packages/gateway/test/common/targetBrittleness.test.ts
+++ b/packages/gateway/test/common/targetBrittleness.test.ts
@@ -31,12 +31,37 @@
 		const brittleness = new TargetBrittleness(SLOTS, 0);
 		brittleness.state(BEARABLE);
 		brittleness.recordEnd(100);
-		brittleness.recordRejection(1000);
-		brittleness.recordRejection(1005);
+		brittleness.recordRejection(1000, undefined);
+		brittleness.recordRejection(1005, undefined);
 		expect(countRoom(brittleness, 1010)).to.equal(0);
 		expect(countRoom(brittleness, 1050)).to.equal(Math.floor(0.8 * SLOTS));
 	});
 
+	// Guards against a room that grew far beyond the slots and shrinks by a fifth at a time.
+	it('bounds the room by what the target held when it rejected a request', () => {
+		const brittleness = new TargetBrittleness(4 * SLOTS, 0);
+		brittleness.state(BEARABLE);
+		brittleness.recordEnd(100);
+		brittleness.recordRejection(1000, SLOTS);
+		expect(countRoom(brittleness, 1050)).to.equal(0);
+		expect(countRoom(brittleness, 1100)).to.equal(1.25 * SLOTS);
+	});
+
+	it('does not grow the room while the target reports that enough requests wait', () => {
+		for (const [held, isGrowing] of [
+			[SLOTS + 6, false],
+			[SLOTS, true],
+		] as const) {
+			const brittleness = new TargetBrittleness(SLOTS, 0);
+			brittleness.state(BEARABLE);
+			for (let nowMs = 0; nowMs < 3000; nowMs += 100) {
+				brittleness.recordHeld(held, nowMs);
+				countRoom(brittleness, nowMs);
+			}
+			expect(countRoom(brittleness, 3000) > SLOTS).to.equal(isGrowing);
+		}
+	});
+
 	it('grows the room while it limits requests, but not if it does not hear of the rejections of others', () => {
 		for (const [hearsOthers, expected] of [
 			[true, true],
--- a/packages/gateway/test/model/brittleTargets.test.ts
+++ b/packages/gateway/test/model/brittleTargets.test.ts
@@ -9,6 +9,8 @@
 	readonly targets: number;
 	readonly slots: number;
 	readonly maxWaiting: number;
+	/** From when on fewer requests may wait, and how many; undefined if that does not change. */
+	readonly fewerWaiting?: { readonly fromMs: number; readonly maxWaiting: number };
 	/** Time that a target works on a request. */
 	readonly workMs: number;
 	readonly bearableRejections: number;
@@ -43,9 +45,18 @@
 
 	constructor(private readonly load: Load) {}
 
+	/** Requests that run or wait. */
+	public get heldRequests(): number {
+		return this.endsAtMs.length + this.waiting;
+	}
+
 	/** Returns whether the target takes a request; it fails if it has rejected too many. */
 	public offer(nowMs: number): 'taken' | 'rejected' | 'fell' {
-		const { slots, workMs, maxWaiting, bearableRejections } = this.load;
+		const { slots, workMs, fewerWaiting, bearableRejections } = this.load;
+		const maxWaiting =
+			fewerWaiting !== undefined && nowMs >= fewerWaiting.fromMs
+				? fewerWaiting.maxWaiting
+				: this.load.maxWaiting;
 		if (this.endsAtMs.length < slots) {
 			this.endsAtMs.push(nowMs + workMs);
 			return 'taken';
@@ -145,11 +156,13 @@
 		for (const [index, target] of this.targets.entries()) {
 			for (let ended = target.advance(nowMs); ended > 0; ended--) {
 				const request = this.held[index]?.shift();
+				const held = target.heldRequests;
 				if (request !== undefined) {
 					const { owner, sentAtMs } = request;
 					this.schedule(nowMs + NETWORK_MS, () => {
 						this.addInFlight(owner, index, -1);
 						this.knowledge[owner]?.[index]?.recordEnd(nowMs - sentAtMs);
+						this.knowledge[owner]?.[index]?.recordHeld(held, nowMs + NETWORK_MS);
 					});
 				}
 			}
@@ -194,24 +207,25 @@
 				this.addInFlight(owner, index, -1);
 			}
 		}
+		const held = target?.heldRequests ?? 0;
 		this.schedule(nowMs + NETWORK_MS, () => {
 			this.addInFlight(instance, index, -1);
 			if (result === 'rejected') {
-				this.announceRejection(instance, index, nowMs + NETWORK_MS);
+				this.announceRejection(instance, index, held, nowMs + NETWORK_MS);
 			}
 			this.send(instance, nowMs + NETWORK_MS, tried);
 		});
 	}
 
-	private announceRejection(instance: number, index: number, nowMs: number): void {
-		this.knowledge[instance]?.[index]?.recordRejection(nowMs);
+	private announceRejection(instance: number, index: number, held: number, nowMs: number): void {
+		this.knowledge[instance]?.[index]?.recordRejection(nowMs, held);
 		if (this.isCut(instance)) {
 			return;
 		}
 		this.schedule(nowMs + NETWORK_MS, () => {
 			for (const [other, row] of this.knowledge.entries()) {
 				if (other !== instance && !this.isCut(other)) {
-					row[index]?.recordRejection(nowMs + NETWORK_MS);
+					row[index]?.recordRejection(nowMs + NETWORK_MS, held);
 				}
 			}
 		});
@@ -266,4 +280,15 @@
 			}
 		}
 	}
+
+	// Guards against a room that grew while nothing was rejected: instances overrun the targets when it shrinks at once.
+	for (const instances of [4, 28, 79]) {
+		it(`${instances} instances, applications: hardly any falls when fewer requests may wait from one moment on`, () => {
+			const fewerWaiting = { fromMs: 6000, maxWaiting: 3 };
+			const shape = { ...APPLICATIONS, targets: 3, maxWaiting: 60, bearableRejections: 6, fewerWaiting };
+			const { falls, usedShare } = new FleetOfSenders({ instances, ...shape, ...CALM }).run();
+			expect(falls).to.be.at.most(2);
+			expect(usedShare).to.be.at.least(MIN_USED_SHARE);
+		});
+	}
 });
