Let the fairness and limit modules of core serve the gateway's admission too

Cause: admission control in the gateway needs fair shares by customer over the whole fleet, waits bounded for each request, and demand-based shares. Change: InFlightShareTracker counts the use reported by other routers; FairQueue takes a maximum time for each request and, optionally, the demand of each priority; the demand share of SharedRateLimit is a function of its own.

--- a/packages/core/src/common/fairness/fairQueue.ts
+++ b/packages/core/src/common/fairness/fairQueue.ts
@@ -16,6 +16,11 @@
 	readonly maxQueuedPerCustomer: number;
 	/** Maximum time in the queue, in ms. */
 	readonly maxWaitMs: number;
+	/**
+	 * Returns the demand of a priority. The share of each priority is then in proportion to its demand as well, so that a
+	 * lower one with few requests is not served more often than a higher one with many. Equal for all if absent.
+	 */
+	readonly readDemand?: (priority: number) => number;
 }
 
 export interface QueueEntry<T> {
@@ -26,6 +31,8 @@
 	/** 0 is served first. */
 	readonly priority: number;
 	readonly enqueuedAtMs: number;
+	/** Maximum time of this request in the queue, in ms; that of the queue if absent. */
+	readonly maxWaitMs?: number;
 }
 
 export type EnqueueResult =
@@ -52,6 +59,21 @@
 		return this.queuedByCustomer.get(customer) ?? 0;
 	}
 
+	/**
+	 * Returns how many queued requests come before a further one of this customer and priority: those of its own
+	 * priority and of higher ones, of each customer at most one more than of its own.
+	 */
+	public countAhead(customer: string, priority: number): number {
+		const turns = this.countQueued(customer) + 1;
+		let ahead = 0;
+		for (const [other, queue] of this.queuesByPriority) {
+			for (const key of other <= priority ? queue.listKeys() : []) {
+				ahead += Math.min(queue.countQueued(key), key === customer ? Infinity : turns);
+			}
+		}
+		return ahead;
+	}
+
 	/**
 	 * Adds a request. Refuses it at once if its customer or the whole queue is at its limit, or if it would
 	 * time out in the queue at the rate at which its customer is served.
@@ -59,11 +81,13 @@
 	public enqueue(entry: QueueEntry<T>): EnqueueResult {
 		const count = this.countQueued(entry.customer);
 		const isFull = count >= this.options.maxQueuedPerCustomer || this.size >= this.options.maxQueued;
-		if (isFull || this.isExpectedToTimeOut(entry.customer)) {
+		if (isFull || this.isExpectedToTimeOut(entry)) {
 			return { kind: 'refused', retryAfterMs: this.estimateWait(entry.customer) };
 		}
 		this.getPriorityQueue(entry.priority).enqueue(entry.customer, entry.weight, 1, entry);
-		this.priorities.enqueue(String(entry.priority), PRIORITY_RATIO ** -entry.priority, 1, entry.priority);
+		const demand = this.options.readDemand?.(entry.priority) ?? 1;
+		const weight = demand * PRIORITY_RATIO ** -entry.priority;
+		this.priorities.enqueue(String(entry.priority), weight, 1, entry.priority);
 		this.queuedByCustomer.set(entry.customer, count + 1);
 		return { kind: 'queued' };
 	}
@@ -95,7 +119,7 @@
 
 	/** Removes and returns the requests that were queued for the maximum time. */
 	public expire(nowMs: number): QueueEntry<T>[] {
-		return this.removeWhere((entry) => nowMs - entry.enqueuedAtMs >= this.options.maxWaitMs);
+		return this.removeWhere((entry) => nowMs - entry.enqueuedAtMs >= this.readMaxWait(entry));
 	}
 
 	/** Removes and returns the requests that `test` accepts, such as those whose caller disconnected. */
@@ -125,10 +149,17 @@
 		return Math.min(maxWaitMs, waitMs);
 	}
 
-	/** Whether a new request of this customer is expected to time out in the queue. */
-	private isExpectedToTimeOut(customer: string): boolean {
-		const intervalMs = this.departuresByCustomer.get(customer)?.intervalMs;
-		return intervalMs !== undefined && intervalMs * (this.countQueued(customer) + 1) > this.options.maxWaitMs;
+	/** Whether a new request is expected to time out in the queue. */
+	private isExpectedToTimeOut(entry: QueueEntry<T>): boolean {
+		const intervalMs = this.departuresByCustomer.get(entry.customer)?.intervalMs;
+		return (
+			intervalMs !== undefined &&
+			intervalMs * (this.countQueued(entry.customer) + 1) > this.readMaxWait(entry)
+		);
+	}
+
+	private readMaxWait({ maxWaitMs }: QueueEntry<T>): number {
+		return Math.min(this.options.maxWaitMs, maxWaitMs ?? Infinity);
 	}
 
 	private takeNext(
--- a/packages/core/src/common/fairness/inFlightShareTracker.ts
+++ b/packages/core/src/common/fairness/inFlightShareTracker.ts
@@ -1,5 +1,6 @@
 /**
- * Tracks which customers exceed their fair share of the requests in flight at this router. These must leave
+ * Tracks which customers exceed their fair share of the requests in flight at this router, and at the others as far as
+ * their use is known. These must leave
  * headroom in the capacity of each engine, so that a customer within its share is served at once.
  *
  * The share is max-min fair: it is the usage per weight to which all larger usages would have to be lowered
@@ -12,7 +13,10 @@
 const RECOMPUTE_THRESHOLD = 0.02;
 
 interface CustomerUsage {
-	inFlight: number;
+	/** Requests in flight at this router. */
+	own: number;
+	/** Requests in flight at the other routers, as last set. */
+	others: number;
 	weight: number;
 }
 
@@ -33,10 +37,10 @@
 	public noteSent(customer: string, weight: number): void {
 		let usage = this.customers.get(customer);
 		if (usage === undefined) {
-			usage = { inFlight: 0, weight };
+			usage = { own: 0, others: 0, weight };
 			this.customers.set(customer, usage);
 		}
-		usage.inFlight += 1;
+		usage.own += 1;
 		usage.weight = weight;
 		this.totalInFlight += 1;
 		this.changesSinceLevel += 1;
@@ -47,14 +51,41 @@
 		if (usage === undefined) {
 			return;
 		}
-		usage.inFlight -= 1;
+		usage.own -= 1;
 		this.totalInFlight -= 1;
 		this.changesSinceLevel += 1;
-		if (usage.inFlight === 0) {
+		if (countInFlight(usage) === 0) {
 			this.customers.delete(customer);
 		}
 	}
 
+	/** Returns the requests of a customer in flight at this router. */
+	public countOwn(customer: string): number {
+		return this.customers.get(customer)?.own ?? 0;
+	}
+
+	/** Lists the customers with requests in flight at this router. */
+	public listOwn(): readonly (readonly [customer: string, inFlight: number])[] {
+		return [...this.customers].filter(([, { own }]) => own > 0).map(([customer, { own }]) => [customer, own]);
+	}
+
+	/** Replaces what is known of the use at the other routers. A customer that is only known there has weight 1. */
+	public setOthers(inFlight: ReadonlyMap<string, number>): void {
+		for (const [customer, usage] of this.customers) {
+			usage.others = 0;
+			if (usage.own === 0 && !inFlight.has(customer)) {
+				this.customers.delete(customer);
+			}
+		}
+		for (const [customer, others] of inFlight) {
+			const usage = this.customers.get(customer) ?? { own: 0, others, weight: 1 };
+			usage.others = others;
+			this.customers.set(customer, usage);
+		}
+		this.totalInFlight = sumInFlight([...this.customers.values()]);
+		this.changesSinceLevel = Infinity;
+	}
+
 	/** Returns up to which share of a target's capacity another request of the customer may be placed. */
 	public computeCapacityShare(customer: string, weight: number): number {
 		const usage = this.customers.get(customer);
@@ -65,20 +96,22 @@
 			this.fairLevel = this.computeFairLevel();
 			this.changesSinceLevel = 0;
 		}
-		return (usage.inFlight + 1) / weight <= this.fairLevel ? 1 : 1 - this.headroomShare;
+		return (countInFlight(usage) + 1) / weight <= this.fairLevel ? 1 : 1 - this.headroomShare;
 	}
 
 	/** Computes the common level to which the largest usages have to be lowered to free the headroom. */
 	private computeFairLevel(): number {
-		const usages = [...this.customers.values()].sort((a, b) => b.inFlight / b.weight - a.inFlight / a.weight);
+		const usages = [...this.customers.values()].sort(
+			(a, b) => countInFlight(b) / b.weight - countInFlight(a) / a.weight,
+		);
 		const headroom = this.totalInFlight * this.headroomShare;
 		let inFlight = 0;
 		let weight = 0;
 		for (const [index, usage] of usages.entries()) {
-			inFlight += usage.inFlight;
+			inFlight += countInFlight(usage);
 			weight += usage.weight;
 			const next = usages[index + 1];
-			const nextLevel = next === undefined ? 0 : next.inFlight / next.weight;
+			const nextLevel = next === undefined ? 0 : countInFlight(next) / next.weight;
 			if (inFlight - nextLevel * weight >= headroom) {
 				return (inFlight - headroom) / weight;
 			}
@@ -86,3 +119,11 @@
 		return 0;
 	}
 }
+
+function countInFlight({ own, others }: CustomerUsage): number {
+	return own + others;
+}
+
+function sumInFlight(usages: readonly CustomerUsage[]): number {
+	return usages.reduce((sum, usage) => sum + countInFlight(usage), 0);
+}
--- a/packages/core/src/common/limits/sharedRateLimit.ts
+++ b/packages/core/src/common/limits/sharedRateLimit.ts
@@ -5,12 +5,10 @@
  * is requests or tokens.
  */
 
-/** Share of the limit that is divided evenly. */
-const EVENLY_SPLIT_SHARE = 0.1;
+import { DemandRate, computeDemandShare } from './demand.js';
+
 /** Capacity of the bucket, as the time in which it fills, in ms. */
 const BURST_DURATION_MS = 1_000;
-/** Time constant of the exponentially weighted demand, in ms. */
-const DEMAND_TIME_CONSTANT_MS = 2_000;
 
 export interface SharedRateLimitOptions {
 	/** Units per second for the whole fleet. */
@@ -32,8 +30,7 @@
 export class SharedRateLimit {
 	private readonly reports = new Map<string, UsageReport>();
 	private routerCount = 1;
-	private demand = 0;
-	private demandAtMs = 0;
+	private readonly demand: DemandRate;
 	/** Units in the bucket; undefined, which means full, until the first request. */
 	private tokens: number | undefined;
 	private refilledAtMs: number;
@@ -42,7 +39,7 @@
 		private readonly options: SharedRateLimitOptions,
 		nowMs: number,
 	) {
-		this.demandAtMs = nowMs;
+		this.demand = new DemandRate(nowMs);
 		this.refilledAtMs = nowMs;
 	}
 
@@ -61,7 +58,7 @@
 
 	/** Takes `amount` units, or returns the delay until enough units are available. */
 	public take(amount: number, nowMs: number): TakeResult {
-		this.noteDemand(amount, nowMs);
+		this.demand.note(amount, nowMs);
 		const rate = this.computeAllowance(nowMs);
 		const tokens = this.refill(rate, nowMs);
 		const needed = Math.min(amount, this.computeBurst(rate));
@@ -82,19 +79,13 @@
 
 	/** Returns the demand at this router, refused requests included, to be reported to the others. */
 	public readDemand(nowMs: number): number {
-		this.decayDemand(nowMs);
-		return this.demand;
+		return this.demand.read(nowMs);
 	}
 
 	/** Returns the units per second that this router may grant now. */
 	public computeAllowance(nowMs: number): number {
-		const ownDemand = this.readDemand(nowMs);
 		const otherDemand = this.sumOtherDemand(nowMs);
-		const totalDemand = ownDemand + otherDemand;
-		const demandShare = totalDemand === 0 ? 1 / this.routerCount : ownDemand / totalDemand;
-		return (
-			this.options.limit * ((1 - EVENLY_SPLIT_SHARE) * demandShare + EVENLY_SPLIT_SHARE / this.routerCount)
-		);
+		return this.options.limit * computeDemandShare(this.readDemand(nowMs), otherDemand, this.routerCount);
 	}
 
 	private sumOtherDemand(nowMs: number): number {
@@ -121,15 +112,4 @@
 		this.tokens = refilled;
 		return refilled;
 	}
-
-	private noteDemand(amount: number, nowMs: number): void {
-		this.decayDemand(nowMs);
-		this.demand += (amount * 1_000) / DEMAND_TIME_CONSTANT_MS;
-	}
-
-	private decayDemand(nowMs: number): void {
-		const elapsedMs = Math.max(0, nowMs - this.demandAtMs);
-		this.demandAtMs = Math.max(nowMs, this.demandAtMs);
-		this.demand *= Math.exp(-elapsedMs / DEMAND_TIME_CONSTANT_MS);
-	}
 }
--- a/packages/core/test/common/fairness/fairQueue.test.ts
+++ b/packages/core/test/common/fairness/fairQueue.test.ts
@@ -137,4 +137,31 @@
 		expect(queue.drain(() => false, 0)).to.equal(0);
 		expect(takeUpTo(queue, 1)).to.deep.equal(['a']);
 	});
+
+	it('serves a low priority with few requests no more often than a high one with many', () => {
+		const demands = [90, 10];
+		const queue = new FairQueue<string>({
+			...OPTIONS,
+			readDemand: (priority) => demands[priority] ?? 0,
+		});
+		fill(queue, 90, makeEntry('high'));
+		fill(queue, 10, makeEntry('low', { priority: 1 }));
+		const taken = takeUpTo(queue, 30);
+		expect(countOf(taken, 'low') / 10).to.be.at.most(countOf(taken, 'high') / 90);
+	});
+
+	it('expires a request by its own maximum time, if that is shorter', () => {
+		const queue = new FairQueue<string>(OPTIONS);
+		queue.enqueue(makeEntry('short', { maxWaitMs: 100 }));
+		queue.enqueue(makeEntry('long'));
+		expect(queue.expire(100).map((entry) => entry.item)).to.deep.equal(['short']);
+	});
+
+	it('counts the long queue of another customer only up to the turn of a new request', () => {
+		const queue = new FairQueue<string>(OPTIONS);
+		fill(queue, 50, makeEntry('large'));
+		fill(queue, 5, makeEntry('later', { priority: 2 }));
+		expect(queue.countAhead('small', 1)).to.equal(1);
+		expect(queue.countAhead('large', 1)).to.equal(50);
+	});
 });
--- a/packages/core/test/common/fairness/inFlightShareTracker.test.ts
+++ b/packages/core/test/common/fairness/inFlightShareTracker.test.ts
@@ -49,4 +49,18 @@
 		shares.noteFinished('small');
 		expect(shares.computeCapacityShare('large', 1)).to.equal(1);
 	});
+
+	it('counts the use at other routers until it is replaced', () => {
+		const shares = makeShares(2, 2);
+		shares.setOthers(new Map([['large', 50]]));
+		expect(shares.computeCapacityShare('large', 1)).to.equal(0.9);
+		expect(shares.computeCapacityShare('small', 1)).to.equal(1);
+		shares.setOthers(new Map([['small', 50]]));
+		expect(shares.computeCapacityShare('large', 1)).to.equal(1);
+		expect(shares.computeCapacityShare('small', 1)).to.equal(0.9);
+		expect(shares.listOwn()).to.deep.equal([
+			['large', 2],
+			['small', 2],
+		]);
+	});
 });
