--- a/packages/core/src/common/fairness/fairQueue.ts
+++ b/packages/core/src/common/fairness/fairQueue.ts
@@ -17,10 +17,15 @@
 	/** Maximum time in the queue, in ms. */
 	readonly maxWaitMs: number;
 	/**
-	 * Returns the demand of a priority. The share of each priority is then in proportion to its demand as well, so that a
+	 * Returns the share of a priority in the demand, in (0, 1]. The share of each priority is then in proportion to its demand as well, so that a
 	 * lower one with few requests is not served more often than a higher one with many. Equal for all if absent.
 	 */
-	readonly readDemand?: (priority: number) => number;
+	readonly readDemandShare?: (priority: number) => number;
+	/**
+	 * Whether requests that are expected to time out are queued all the same, because the owner of the queue has estimated
+	 * their wait. The rate at which a customer is served does not tell its priorities apart.
+	 */
+	readonly acceptsLongWaits?: boolean;
 }
 
 export interface QueueEntry<T> {
@@ -81,12 +86,13 @@
 	public enqueue(entry: QueueEntry<T>): EnqueueResult {
 		const count = this.countQueued(entry.customer);
 		const isFull = count >= this.options.maxQueuedPerCustomer || this.size >= this.options.maxQueued;
-		if (isFull || this.isExpectedToTimeOut(entry)) {
+		const acceptsWait = this.options.acceptsLongWaits === true || !this.isExpectedToTimeOut(entry);
+		if (isFull || !acceptsWait) {
 			return { kind: 'refused', retryAfterMs: this.estimateWait(entry.customer) };
 		}
 		this.getPriorityQueue(entry.priority).enqueue(entry.customer, entry.weight, 1, entry);
-		const demand = this.options.readDemand?.(entry.priority) ?? 1;
-		const weight = demand * PRIORITY_RATIO ** -entry.priority;
+		const demandShare = this.options.readDemandShare?.(entry.priority) ?? 1;
+		const weight = demandShare * PRIORITY_RATIO ** -entry.priority;
 		this.priorities.enqueue(String(entry.priority), weight, 1, entry.priority);
 		this.queuedByCustomer.set(entry.customer, count + 1);
 		return { kind: 'queued' };
--- a/packages/core/test/common/fairness/fairQueue.test.ts
+++ b/packages/core/test/common/fairness/fairQueue.test.ts
@@ -131,6 +131,16 @@
 		expect(queue.enqueue(makeEntry('b')).kind).to.equal('queued');
 	});
 
+	it('leaves the estimate of the wait to the owner of the queue if that is set', () => {
+		const queue = new FairQueue<string>({ ...OPTIONS, acceptsLongWaits: true });
+		fill(queue, 20, makeEntry('a'));
+		for (let nowMs = 0; nowMs < 1_000; nowMs += 100) {
+			let left = 1;
+			queue.drain(() => left-- > 0, nowMs);
+		}
+		expect(queue.enqueue(makeEntry('a')).kind).to.equal('queued');
+	});
+
 	it('keeps a request queued when it cannot be placed', () => {
 		const queue = new FairQueue<string>(OPTIONS);
 		queue.enqueue(makeEntry('a'));
@@ -139,10 +149,10 @@
 	});
 
 	it('serves a low priority with few requests no more often than a high one with many', () => {
-		const demands = [90, 10];
+		const demands = [0.9, 0.1];
 		const queue = new FairQueue<string>({
 			...OPTIONS,
-			readDemand: (priority) => demands[priority] ?? 0,
+			readDemandShare: (priority) => demands[priority] ?? 0,
 		});
 		fill(queue, 90, makeEntry('high'));
 		fill(queue, 10, makeEntry('low', { priority: 1 }));
