Share out capacity that is short: requests pass an admission step before their first send

Cause: the decisions of ServiceAdmission were not used. Change: AdmissionControl holds waiting requests and their timers, bounded in number and memory; Exchange asks it before its first send; peers are told of the use by customer while capacity is short.

--- a/packages/gateway/src/common/capacityShare.ts
+++ b/packages/gateway/src/common/capacityShare.ts
@@ -50,13 +50,9 @@
 }
 
 /**
- * Estimates the requests of all others. Those that are not heard are taken to use as much as those that are; if none is,
- * all are taken to use their whole parts.
+ * Estimates the requests of all others: those that are reported, or their whole part if none of them is heard. Instances
+ * that are no longer heard while others are have most likely ended, and their callers have gone to the others.
  */
 export function estimateOthers(partOfOthers: number, fleet: FleetView, heardRequests: number): number {
-	const others = Math.max(0, fleet.instances - 1);
-	if (others === 0) {
-		return heardRequests;
-	}
-	return fleet.heard === 0 ? partOfOthers : (heardRequests * others) / Math.min(others, fleet.heard);
+	return fleet.heard === 0 && fleet.instances > 1 ? partOfOthers : heardRequests;
 }
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -5,6 +5,7 @@
 
 import type { EvacuationReport } from './evacuatedZones.js';
 import type { PartAnswerReport, PartDeathReport } from './promptCrashTracker.js';
+import type { CapacityReport } from './serviceAdmission.js';
 import type { TargetStart } from './targetStarts.js';
 
 export const PromptKnowledge = {
@@ -79,6 +80,11 @@
 	 * version and if there is nothing new.
 	 */
 	readonly targetReports?: readonly number[];
+	/**
+	 * Use of the services whose capacity is short, by service; undefined if there is none, if this instance does not share
+	 * capacity, or from instances of an older version.
+	 */
+	readonly capacityUse?: Readonly<Record<string, CapacityReport>>;
 	/** Prompts recently sent to engines that did not have all their shared parts cached. */
 	readonly prompts: readonly PromptUpdate[];
 	/** Total tokens of the shared prompt parts that this instance knows to be cached by engines. */
--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -17,6 +17,10 @@
 	| 'zonesEvacuated'
 	/** All targets of the service asked for a pause. */
 	| 'targetsBackingOff'
+	/** The service has less capacity than its callers ask for. */
+	| 'capacityShort'
+	/** The request would end after its deadline on every target. */
+	| 'deadlineTooShort'
 	| 'crashingRequest'
 	/** No instance knows which version began the stream that the caller resumes. */
 	| 'unknownStream'
@@ -79,6 +83,8 @@
 		case 'streamNotFound':
 		case 'noTarget':
 			return { status: 503, retryAfterMs: addJitter(RECOVERY_RETRY_AFTER_MS) };
+		case 'capacityShort':
+		case 'deadlineTooShort':
 		case 'targetsBackingOff':
 			return { status: 503, retryAfterMs: returnDelayMs ?? addJitter(RECOVERY_RETRY_AFTER_MS) };
 		case 'noConnection':
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -6,7 +6,7 @@
 import type { CapacityUse, FleetView } from './capacityShare.js';
 import { SHORT_OCCUPANCY, computeAllowance, estimateOthers } from './capacityShare.js';
 import { RETURN_SHARE, ReturnSchedule } from './returnSchedule.js';
-import type { ServiceLoad } from './serviceCapacity.js';
+import type { ServiceCapacity } from './serviceCapacity.js';
 import { ServiceTimes } from './serviceTimes.js';
 
 /** Part of its objective that a request may wait at the instance: with a longer wait it would be late. */
@@ -62,9 +62,11 @@
 	readonly isReturning: boolean;
 }
 
-export interface ServiceAdmissionOptions {
-	readonly readLoad: () => ServiceLoad;
+export interface ServiceAdmissionOptions<T> {
+	readonly readLoad: () => ServiceCapacity;
 	readonly readFleet: () => FleetView;
+	/** Whether a further request may wait. */
+	readonly canWait: (item: T) => boolean;
 	/** Returns a random number in [0, 1). */
 	readonly random: () => number;
 }
@@ -79,7 +81,7 @@
 	private shortAtMs = -Infinity;
 	private nowMs = 0;
 
-	constructor(private readonly options: ServiceAdmissionOptions) {
+	constructor(private readonly options: ServiceAdmissionOptions<T>) {
 		this.queue = new FairQueue({
 			maxQueued: MAX_WAITING,
 			maxQueuedPerCustomer: MAX_WAITING_PER_CUSTOMER,
@@ -95,6 +97,11 @@
 		return this.queue.size;
 	}
 
+	/** Requests that were sent and have not ended. */
+	public get requests(): number {
+		return this.ownRequests;
+	}
+
 	/** Decides on a request that arrives. One that is sent counts until `recordEnd`. */
 	public offer(item: T, request: AdmissionRequest, nowMs: number): AdmissionDecision {
 		this.nowMs = nowMs;
@@ -114,7 +121,7 @@
 			return this.send(customer);
 		}
 		const maxWaitMs = computeMaxWait(request, this.times.findRouteTime(route) ?? 0);
-		if (this.estimateWait(limit, ahead, priority) > maxWaitMs) {
+		if (this.estimateWait(limit, ahead, priority, load) > maxWaitMs || !this.options.canWait(item)) {
 			return this.refuse('capacityShort', request);
 		}
 		const entry = { item: { item, request, isReturning }, customer, weight: 1, priority };
@@ -183,11 +190,16 @@
 		this.shares.setOthers(inFlight);
 	}
 
-	/** Describes the own use for the other instances; undefined while the capacity is not short. */
-	public describeUse(nowMs: number): CapacityReport | undefined {
-		return this.isShortLately(nowMs)
-			? [Math.round(10 * this.readDemand(nowMs)) / 10, ...this.shares.listOwn().flat()]
-			: undefined;
+	/**
+	 * Describes the own use for the other instances; undefined while the capacity is not short.
+	 * @param maxCustomers limit of the customers, of which those with the most requests are named
+	 */
+	public describeUse(nowMs: number, maxCustomers: number): CapacityReport | undefined {
+		if (!this.isShortLately(nowMs)) {
+			return undefined;
+		}
+		const use = [...this.shares.listOwn()].sort(([, a], [, b]) => b - a).slice(0, maxCustomers);
+		return [Math.round(10 * this.readDemand(nowMs)) / 10, ...use.flat()];
 	}
 
 	/** Whether the capacity is or was just short. */
@@ -195,7 +207,7 @@
 		return nowMs - this.shortAtMs <= SHORT_RETENTION_MS;
 	}
 
-	private checkShort(load: ServiceLoad, nowMs: number): boolean {
+	private checkShort(load: ServiceCapacity, nowMs: number): boolean {
 		const fleet = this.options.readFleet();
 		const share = 1 / Math.max(1, fleet.instances);
 		const others = estimateOthers(load.concurrency * (1 - share), fleet, load.otherRequests);
@@ -206,7 +218,7 @@
 	}
 
 	/** Whether the request would end after its deadline even at the target with the shortest queue. */
-	private isTooLate({ remainingMs, route }: AdmissionRequest, { leastQueue }: ServiceLoad): boolean {
+	private isTooLate({ remainingMs, route }: AdmissionRequest, { leastQueue }: ServiceCapacity): boolean {
 		const routeMs = this.times.findRouteTime(route) ?? 0;
 		return leastQueue > 0 && leastQueue * this.times.serviceMs + routeMs > remainingMs;
 	}
@@ -216,7 +228,7 @@
 	 * uses what the targets run at once, the others a short queue at the targets too, of which a part is kept for callers
 	 * that return.
 	 */
-	private computeLimit(customer: string, isReturning: boolean, load: ServiceLoad): number {
+	private computeLimit(customer: string, isReturning: boolean, load: ServiceCapacity): number {
 		const { concurrency } = load;
 		if (this.shares.computeCapacityShare(customer, 1) < 1) {
 			return this.computeAllowance(concurrency, load);
@@ -230,7 +242,7 @@
 		return Math.max(this.computeAllowance(concurrency, load), limit - due);
 	}
 
-	private computeAllowance(capacity: number, load: ServiceLoad): number {
+	private computeAllowance(capacity: number, load: ServiceCapacity): number {
 		const use: CapacityUse = {
 			ownRequests: this.ownRequests,
 			otherRequests: load.otherRequests,
@@ -248,8 +260,8 @@
 	}
 
 	/** Estimates how long a request waits here, in ms. */
-	private estimateWait(limit: number, ahead: number, priority: number): number {
-		const rate = this.computeRate();
+	private estimateWait(limit: number, ahead: number, priority: number, load: ServiceCapacity): number {
+		const rate = this.computeRate(load);
 		let moreUrgent = 0;
 		for (const [other, demand] of this.demands) {
 			moreUrgent += other < priority ? demand.read(this.nowMs) / 1000 : 0;
@@ -259,8 +271,9 @@
 	}
 
 	/** Returns the requests per ms that end here. */
-	private computeRate(): number {
-		return Math.max(1, this.ownRequests) / this.times.serviceMs;
+	private computeRate({ concurrency, otherRequests }: ServiceCapacity): number {
+		const perSlot = Math.max(1, (this.ownRequests + otherRequests) / Math.max(1, concurrency));
+		return Math.max(1, this.ownRequests) / (perSlot * this.times.serviceMs);
 	}
 
 	private send(customer: string): AdmissionDecision {
@@ -276,7 +289,7 @@
 	private scheduleReturn({ priority, remainingMs }: AdmissionRequest): number {
 		return this.returns.schedule(
 			priority,
-			this.computeRate(),
+			this.computeRate(this.options.readLoad()),
 			remainingMs,
 			this.nowMs,
 			this.options.random(),
@@ -311,3 +324,20 @@
 		),
 	);
 }
+
+/** Whether a value from a peer is its use by service. */
+export function isCapacityReportMap(value: unknown): value is Readonly<Record<string, CapacityReport>> {
+	return typeof value === 'object' && value !== null && Object.values(value).every(isCapacityReport);
+}
+
+function isCapacityReport(value: unknown): value is CapacityReport {
+	return (
+		Array.isArray(value) &&
+		value.length % 2 === 1 &&
+		value.every((entry, index) => (index % 2 === 1 ? typeof entry === 'string' : isCount(entry)))
+	);
+}
+
+function isCount(value: unknown): boolean {
+	return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
--- a/packages/gateway/src/common/serviceCapacity.ts
+++ b/packages/gateway/src/common/serviceCapacity.ts
@@ -7,7 +7,7 @@
  */
 const MIN_CACHE_SLOT_SHARE = 0.6;
 
-export interface ServiceLoad {
+export interface ServiceCapacity {
 	/** Requests that the targets can run at once. */
 	readonly concurrency: number;
 	/** Requests of the other instances on the targets, as last reported. */
@@ -24,10 +24,10 @@
 }
 
 /** @param cache undefined for services that run no models */
-export function estimateServiceLoad(
+export function estimateServiceCapacity(
 	targets: readonly TargetState[],
 	cache: CacheUse | undefined,
-): ServiceLoad {
+): ServiceCapacity {
 	let concurrency = 0;
 	let otherRequests = 0;
 	let leastQueue = targets.length === 0 ? 0 : Infinity;
--- a/packages/gateway/src/common/serviceTimes.ts
+++ b/packages/gateway/src/common/serviceTimes.ts
@@ -2,6 +2,8 @@
 
 /** Weight of the latest request in the moving averages. */
 const WEIGHT = 0.05;
+/** Resolution of the times; rates are computed from them. */
+const MIN_SERVICE_MS = 1;
 /** Until a request has ended. */
 const DEFAULT_SERVICE_MS = 1000;
 /** What is known of the longest deadline is given up slowly, for routes whose deadline is shortened. */
@@ -55,7 +57,7 @@
 	 * @param queueAtSend length of the target's queue when it was sent, in requests that the target runs at once
 	 */
 	public recordEnd(route: string, residenceMs: number, queueAtSend: number): void {
-		const serviceMs = residenceMs / (1 + Math.max(0, queueAtSend));
+		const serviceMs = Math.max(MIN_SERVICE_MS, residenceMs / (1 + Math.max(0, queueAtSend)));
 		this.averageMs = updateAverage(this.averageMs, serviceMs);
 		const times = this.routes.get(route);
 		if (times !== undefined) {
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -86,6 +86,7 @@
 	/** Refuses all further requests, since no time is left to serve them. */
 	public startRefusing(): void {
 		this.isRefusing = true;
+		this.options.exchange.admission?.refuseAll();
 	}
 
 	/** Stops accepting connections and closes the idle ones. */
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -12,6 +12,7 @@
 import type { Placement } from '../common/targetTable.js';
 import type { AttemptFailure, AttemptResult } from './attemptResponse.js';
 import { AttemptResponse } from './attemptResponse.js';
+import type { AdmissionTicket } from './admissionControl.js';
 import type { CallerResponse } from './callerResponse.js';
 import type { TargetRun } from './crashTracker.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
@@ -39,6 +40,7 @@
 	private readonly timer: NodeJS.Timeout;
 	private readonly deadlineAtMs: number;
 	private attempt: RunningAttempt | undefined;
+	private ticket: AdmissionTicket | undefined;
 	private lastEventId: string | undefined;
 	private hasForwardedEvents = false;
 	/** A target's 5xx response, which the caller gets if no further attempt succeeds. */
@@ -83,14 +85,14 @@
 	}
 
 	private startAttempts(): void {
-		const { crashes, countRequest } = this.parts;
-		if (this.input.relayed === undefined) {
-			countRequest(this.placement.service);
+		const { admission, crashes } = this.parts;
+		if (admission === undefined) {
+			this.countRequest();
 		}
 		const risk = crashes.check(this.input.traits, performance.now());
 		switch (risk.kind) {
 			case 'none':
-				this.sendNext();
+				this.admit();
 				return;
 			case 'refuse':
 				this.refuse('crashingRequest', risk.detail);
@@ -99,11 +101,50 @@
 				for (const id of risk.targets) {
 					this.history.addExcluded(id);
 				}
-				this.sendNext();
+				this.admit();
 				return;
 		}
 	}
 
+	/** Sends the first attempt, at once or when the service has room; an instance that gets it relayed decides itself. */
+	private admit(): void {
+		const { admission, hasLostPath } = this.parts;
+		if (admission === undefined || hasLostPath()) {
+			this.sendNext();
+			return;
+		}
+		const { body, customer, request, route } = this.input;
+		const remainingMs = this.deadlineAtMs - performance.now();
+		this.ticket = admission.open(
+			{
+				service: this.placement.service,
+				route: route.name,
+				customer: customer?.name ?? '',
+				priority: this.priority,
+				objectiveMs: route.objectiveMs,
+				remainingMs,
+				tokens: countTokens(request.prompt),
+				bodyBytes: body.length,
+			},
+			{
+				onAdmitted: () => {
+					this.countRequest();
+					this.sendNext();
+				},
+				onRefused: (reason, returnDelayMs) => {
+					this.refuse(reason, `service ${this.placement.service} has no room`, returnDelayMs);
+				},
+			},
+		);
+		this.ticket.start();
+	}
+
+	private countRequest(): void {
+		if (this.input.relayed === undefined) {
+			this.parts.countRequest(this.placement.service);
+		}
+	}
+
 	/** Cancels the request after the caller closed its connection. */
 	public cancel(): void {
 		if (!this.isEnded) {
@@ -214,6 +255,7 @@
 		this.placement.recordSend(placement);
 		this.report.recordPlacement(placement);
 		const prefillTimeMs = countTokens(request.prompt) / MIN_PREFILL_TOKENS_PER_MS;
+		this.ticket?.recordSend(target);
 		target.recordRequestSent(nowMs, prefillTimeMs + (isRelayed ? RELAY_MARGIN_MS : 0));
 		const headers = buildOutgoingHeaders(this.parts, this.input, placement, this.describeProgress(nowMs));
 		const outgoing = { request, headers, body, isRepeatable: isIdempotent(route), isRelayed };
@@ -465,6 +507,9 @@
 		if (attempt !== undefined) {
 			this.attempt = undefined;
 			attempt.end(end === 'completed');
+			if (end === 'completed' && !attempt.isRelayed) {
+				this.ticket?.recordServed();
+			}
 			if (attempt.run !== undefined) {
 				this.parts.crashes.end(attempt.run, end, performance.now());
 			}
@@ -477,6 +522,7 @@
 		}
 		this.isEnded = true;
 		clearTimeout(this.timer);
+		this.ticket?.end();
 		this.report.logEnd(outcome, this.placement.service, this.history, this.lastEventId, fields);
 		this.onEnded();
 	}
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -8,6 +8,7 @@
 import type { StreamOrigin } from '../common/streamOrigins.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
+import type { AdmissionControl } from './admissionControl.js';
 import type { CrashTracker, RequestTraits, TargetRun } from './crashTracker.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { OriginLookup } from './streamOriginSync.js';
@@ -20,6 +21,8 @@
 	readonly crashes: CrashTracker;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
+	/** Undefined if requests are sent whether or not the service has room. */
+	readonly admission: AdmissionControl | undefined;
 	/** Counts the first send of a request to a service, which adds to the retry budget. */
 	readonly countRequest: (service: string) => void;
 	/** Takes one further send to a service from the retry budget of the fleet; false if it is spent. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -21,6 +21,7 @@
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
 import { TargetView } from '../common/targetView.js';
+import { AdmissionControl } from './admissionControl.js';
 import { BlockedPromptsSync } from './blockedPromptsSync.js';
 import { BrittlenessSync } from './brittlenessSync.js';
 import { CallerServer } from './callerServer.js';
@@ -66,6 +67,8 @@
 	readonly coldTargets?: ColdTargetBounds | undefined;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
+	/** Whether capacity is shared out while a service has less of it than its callers ask for. */
+	readonly sharesCapacity: boolean;
 }
 
 export interface GatewayDependencies {
@@ -117,6 +120,7 @@
 	private readonly evacuationSync: EvacuationSync;
 	private readonly coldTargetSync: ColdTargetSync;
 	private readonly loadReportSync: LoadReportSync;
+	private readonly admission: AdmissionControl | undefined;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -155,6 +159,7 @@
 				target: record.id,
 				requests: sentRequests,
 			})),
+			waiting: this.admission?.waiting ?? 0,
 		}));
 		this.client = new TargetClient({
 			codec,
@@ -280,6 +285,7 @@
 			},
 			readOwnRank: () => this.membership.peers.findRankAmongServing(performance.now()),
 		});
+		this.admission = settings.sharesCapacity ? this.createAdmission(settings.seeds.length) : undefined;
 		this.server = new CallerServer({
 			address: settings.self.callersAddress,
 			readSnapshot: () =>
@@ -292,6 +298,7 @@
 				crashes: this.crashTracker,
 				log,
 				metrics: this.metrics,
+				admission: this.admission,
 				countRequest: (service) => {
 					this.retries.recordRequest(service, performance.now());
 				},
@@ -398,6 +405,7 @@
 			evacuationSync: this.evacuationSync,
 			coldTargetSync: this.coldTargetSync,
 			loadReportSync: this.loadReportSync,
+			admission: this.admission,
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
@@ -414,6 +422,9 @@
 		for (const disposable of [this.activeConfiguration, this.client, this.server, this.membership]) {
 			this.disposables.add(disposable);
 		}
+		if (this.admission !== undefined) {
+			this.disposables.add(this.admission);
+		}
 		this.disposables.add(this.configurationSync);
 		this.disposables.add(this.blockedPromptsSync);
 		this.disposables.add(this.evacuationSync);
@@ -513,6 +524,7 @@
 		this.coldTargetSync.tick(nowMs);
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
+		this.admission?.tick(nowMs);
 		this.checkServing(nowMs);
 	}
 
@@ -584,6 +596,20 @@
 		}
 	}
 
+	private createAdmission(seeds: number): AdmissionControl {
+		return new AdmissionControl({
+			targets: this.targets,
+			log: this.dependencies.log,
+			countDecision: (event) => {
+				this.metrics.countDecision(event);
+			},
+			findService: (service) => this.activeConfiguration.current?.configuration.services.get(service),
+			listPeers: () => this.membership.peers.listAll(),
+			countInstances: () => this.membership.peers.countInstances(performance.now()),
+			seeds,
+		});
+	}
+
 	private getCacheCapacity(target: TargetState): number {
 		return (
 			this.activeConfiguration.current?.configuration.services.get(target.record.service)?.kvCacheTokens ?? 0
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -16,6 +16,8 @@
 	readonly coldTargets: number;
 	readonly droppedLogLines: number;
 	readonly targetSends: readonly TargetSends[];
+	/** Requests that wait for capacity. */
+	readonly waiting: number;
 }
 
 export interface TargetSends {
@@ -147,6 +149,7 @@
 	add('papayawell_peers', 'Other instances heard of.', (g) => g.peers);
 	add('papayawell_evacuated_zones', 'Zones to whose targets nothing is sent.', (g) => g.evacuatedZones);
 	add('papayawell_cold_targets', 'Targets that are treated as cold.', (g) => g.coldTargets);
+	add('papayawell_waiting_requests', 'Requests that wait for capacity.', (g) => g.waiting);
 	add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
 	new Gauge({
 		name: 'papayawell_target_sends',
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -1,4 +1,5 @@
 /** Describes the state of this instance for its peers, and passes on theirs to the parts that adopt it. */
+import type { AdmissionControl } from './admissionControl.js';
 import type { ActiveConfiguration } from '../common/activeConfiguration.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { GatewayState, PeerState, TargetLoad } from '../common/peerState.js';
@@ -29,6 +30,8 @@
 	readonly evacuationSync: EvacuationSync;
 	readonly coldTargetSync: ColdTargetSync;
 	readonly loadReportSync: LoadReportSync;
+	/** Undefined if this instance does not share capacity. */
+	readonly admission: AdmissionControl | undefined;
 	readonly isServing: () => boolean;
 	/** Whether this instance reaches targets itself. */
 	readonly hasTargetPath: () => boolean;
@@ -62,6 +65,7 @@
 			coldTargets: this.parts.coldTargetSync.listReports(nowMs),
 			rosterSize: this.parts.coldTargetSync.rosterSize,
 			targetReports: this.parts.loadReportSync.listReports(nowMs),
+			capacityUse: this.parts.admission?.describeUse(nowMs),
 		};
 	}
 
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -7,6 +7,7 @@
 import type { PeerState } from '../common/peerState.js';
 import { ColdnessSource } from '../common/peerState.js';
 import { isPartAnswerReport, isPartDeathReport } from '../common/promptCrashTracker.js';
+import { isCapacityReportMap } from '../common/serviceAdmission.js';
 
 /** Smaller states are sent as they are: they are few, and compression would cost more than it saves. */
 const MIN_COMPRESSED_BYTES = 1000;
@@ -67,6 +68,7 @@
 		isOptionalList(state.coldTargets, isColdTargetReport) &&
 		(state.rosterSize === undefined || Number.isSafeInteger(state.rosterSize)) &&
 		isOptionalList(state.targetReports, isCount) &&
+		(state.capacityUse === undefined || isCapacityReportMap(state.capacityUse)) &&
 		Array.isArray(state.loads) &&
 		Array.isArray(state.crashes) &&
 		Array.isArray(state.prompts) &&
--- a/packages/gateway/test/common/serviceAdmission.test.ts
+++ b/packages/gateway/test/common/serviceAdmission.test.ts
@@ -3,7 +3,7 @@
 import { ReturnSchedule } from '../../src/common/returnSchedule.js';
 import type { AdmissionRequest } from '../../src/common/serviceAdmission.js';
 import { ServiceAdmission } from '../../src/common/serviceAdmission.js';
-import { estimateServiceLoad } from '../../src/common/serviceCapacity.js';
+import { estimateServiceCapacity } from '../../src/common/serviceCapacity.js';
 import { makeEngines } from './fixtures.js';
 
 const REQUEST: AdmissionRequest = {
@@ -18,6 +18,7 @@
 function makeAdmission(slots: number, leastQueue = 0): ServiceAdmission<string> {
 	const admission = new ServiceAdmission<string>({
 		random: () => 0.5,
+		canWait: () => true,
 		readFleet: () => ({ instances: 1, heard: 0, demands: [] }),
 		readLoad: () => ({ concurrency: slots, otherRequests: 0, leastQueue }),
 	});
@@ -75,10 +76,10 @@
 
 	it('tells peers of its use only while the capacity is short, and for a short while after', () => {
 		const admission = makeAdmission(6);
-		expect(admission.describeUse(0)).to.equal(undefined);
+		expect(admission.describeUse(0, 100)).to.equal(undefined);
 		const sent = fill(admission, REQUEST);
-		expect(admission.describeUse(2000)?.slice(1)).to.deep.equal(['a', sent]);
-		expect(admission.describeUse(2001)).to.equal(undefined);
+		expect(admission.describeUse(2000, 100)?.slice(1)).to.deep.equal(['a', sent]);
+		expect(admission.describeUse(2001, 100)).to.equal(undefined);
 	});
 
 	it('lets a caller that returns use room that a new one does not get', () => {
@@ -134,13 +135,13 @@
 	});
 });
 
-describe('estimateServiceLoad', () => {
+describe('estimateServiceCapacity', () => {
 	it('counts the KV cache as capacity if it holds fewer prompts than there are slots', () => {
 		const engines = makeEngines([50, 20]);
-		const long = estimateServiceLoad(engines, { capacityTokens: 365_638, tokensPerRequest: 9200 });
-		const short = estimateServiceLoad(engines, { capacityTokens: 365_638, tokensPerRequest: 713 });
+		const long = estimateServiceCapacity(engines, { capacityTokens: 365_638, tokensPerRequest: 9200 });
+		const short = estimateServiceCapacity(engines, { capacityTokens: 365_638, tokensPerRequest: 713 });
 		expect(long.concurrency).to.equal(2 * 39);
 		expect(short.concurrency).to.equal(2 * 64);
-		expect(estimateServiceLoad(makeEngines([79]), undefined).leastQueue).to.equal(0.25);
+		expect(estimateServiceCapacity(makeEngines([79]), undefined).leastQueue).to.equal(0.25);
 	});
 });
--- a/packages/gateway/test/model/capacityFleet.ts
+++ b/packages/gateway/test/model/capacityFleet.ts
@@ -133,6 +133,7 @@
 			next: 0,
 			admission: new ServiceAdmission<Call>({
 				random: this.random,
+				canWait: () => true,
 				readFleet: () => ({
 					instances,
 					heard: heard.size,
@@ -248,7 +249,7 @@
 		for (let step = 0; step < recipients; step++) {
 			const to = (index + 1 + ((instance.next + step) % (instances - 1))) % instances;
 			if (index >= isolated && to >= isolated && this.random() >= lossShare) {
-				const report = instance.admission.describeUse(this.nowMs);
+				const report = instance.admission.describeUse(this.nowMs, 100);
 				this.instances[to]?.heard.set(index, { requests: instance.own, report });
 			}
 		}
--- a/packages/gateway/test/node/gatewayMetrics.test.ts
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -10,6 +10,7 @@
 			evacuatedZones: 0,
 			coldTargets: 0,
 			droppedLogLines: 0,
+			waiting: 0,
 			targetSends: [{ service: 's', target: 'x', requests: 4 }],
 		};
 		const metrics = new GatewayMetrics(() => gauges);
