Keep customers above their share to a fraction of a request where instances outnumber slots

Change: while the slots are taken, the part of an instance for customers above their share is rounded at random, for a quarter of a request's time each.

--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -24,6 +24,9 @@
 const MIN_PRIORITY_RATE_SHARE = 0.1;
 /** Peers are told of the use for this long after the capacity was short, so that the shares do not jump. */
 const SHORT_RETENTION_MS = 2000;
+/** Length of the periods in which fractions of requests are rounded up or down, in mean times of a request. A request that
+ * waits sees several of them. */
+const TURN_SERVICE_TIMES = 0.25;
 const MAX_WAITING = 500;
 /** No customer may fill the queue. */
 const MAX_WAITING_PER_CUSTOMER = 200;
@@ -78,6 +81,8 @@
 	private readonly demands = new Map<number, DemandRate>();
 	private readonly queue: FairQueue<Waiting<T>>;
 	private ownRequests = 0;
+	private turn = 0;
+	private turnEndsAtMs = -Infinity;
 	private shortAtMs = -Infinity;
 	private nowMs = 0;
 
@@ -231,15 +236,18 @@
 	private computeLimit(customer: string, isReturning: boolean, load: ServiceCapacity): number {
 		const { concurrency } = load;
 		if (this.shares.computeCapacityShare(customer, 1) < 1) {
-			return this.computeAllowance(concurrency, load);
+			const isFull = this.ownRequests + load.otherRequests >= concurrency;
+			const part = this.computeAllowance(concurrency, load);
+			return isFull ? part + this.readTurn() : Math.max(1, part);
 		}
 		const capacity = concurrency * (1 + this.computeTargetQueue());
-		const limit = this.computeAllowance(capacity, load);
+		// With more instances than slots each may still send one: the targets queue a few.
+		const limit = Math.max(1, this.computeAllowance(capacity, load));
 		if (isReturning) {
 			return limit;
 		}
 		const due = Math.min(this.returns.countDue(this.nowMs), RETURN_SHARE * limit);
-		return Math.max(this.computeAllowance(concurrency, load), limit - due);
+		return Math.max(1, this.computeAllowance(concurrency, load), limit - due);
 	}
 
 	private computeAllowance(capacity: number, load: ServiceCapacity): number {
@@ -248,8 +256,16 @@
 			otherRequests: load.otherRequests,
 			ownDemand: this.readDemand(this.nowMs),
 		};
-		// With more instances than slots each may still send one: the targets queue a few.
-		return Math.max(1, computeAllowance(capacity, this.options.readFleet(), use));
+		return computeAllowance(capacity, this.options.readFleet(), use);
+	}
+
+	/** Returns the random number of the current period, which rounds fractions of requests up or down. */
+	private readTurn(): number {
+		if (this.nowMs >= this.turnEndsAtMs) {
+			this.turn = this.options.random();
+			this.turnEndsAtMs = this.nowMs + TURN_SERVICE_TIMES * this.times.serviceMs;
+		}
+		return this.turn;
 	}
 
 	/** Returns the length of the queue at each target that is worth having, in requests that it runs at once. */
--- a/packages/gateway/test/model/capacitySharing.test.ts
+++ b/packages/gateway/test/model/capacitySharing.test.ts
@@ -77,6 +77,21 @@
 		});
 	}
 
+	// Guards against a least part of one request at each instance, which all customers would use alike.
+	it('shares the slots of slow applications that are fewer than the instances', () => {
+		const streams = makeRoutes(0.5, 1).map((stream) => ({
+			...stream,
+			requestsPerSecond: stream.requestsPerSecond * ((24 * 1000) / 84 / CAPACITY_PER_SECOND),
+			surge: { ...SURGE, factor: stream.customer === 'a' ? 7 : 1 },
+		}));
+		const shape = { slots: 24, serviceMs: 84, objectiveMs: 178, deadlineMs: 1038 };
+		const fleet = run({ instances: 77, ...shape, streams });
+		expect(fleet.sum(({ customer }) => customer !== 'a').servedShare).to.be.at.least(0.97);
+		const served = [0, 1, 2].map((level) => fleet.sum(({ priority }) => priority === level).servedShare);
+		expect(served[0]).to.be.at.least(0.95 * (served[1] ?? 0));
+		expect(served[1]).to.be.at.least(0.95 * (served[2] ?? 0));
+	});
+
 	it('keeps to its part of the capacity at an instance that hears nobody', () => {
 		const fleet = run({ instances: 8, isolated: 1, streams: makeRoutes(1.6, 1) });
 		expect(fleet.highestIsolated).to.be.within(1, (1.2 * SLOTS) / 8);
