Take the load estimates of targets for the capacity of a service

Cause: since targets report their loads, these are known more exactly than by the counts of the peers, and targets of evacuated zones are no capacity. Change: the capacity of a service uses TargetState.estimateLoad and leaves out evacuated targets; an instance that hears nobody is not held to its part where the targets state their loads.

--- a/packages/gateway/src/common/capacityShare.ts
+++ b/packages/gateway/src/common/capacityShare.ts
@@ -20,8 +20,10 @@
 
 export interface CapacityUse {
 	readonly ownRequests: number;
-	/** Requests of the other instances that are heard. */
+	/** Requests of the other instances, as far as they are known. */
 	readonly otherRequests: number;
+	/** Whether that covers the requests of instances that are not heard. */
+	readonly isComplete: boolean;
 	/** Demand of this instance, in requests per second. */
 	readonly ownDemand: number;
 }
@@ -41,7 +43,7 @@
  */
 export function computeAllowance(capacity: number, fleet: FleetView, use: CapacityUse): number {
 	const share = computeShare(fleet, use.ownDemand);
-	const others = estimateOthers(capacity * (1 - share), fleet, use.otherRequests);
+	const others = estimateOthers(capacity * (1 - share), fleet, use);
 	const free = Math.max(0, capacity * (1 - share) - others);
 	const occupancy = (use.ownRequests + others) / capacity;
 	const caution = Math.min(1, Math.max(0, (occupancy - SHORT_OCCUPANCY) / (1 - SHORT_OCCUPANCY)));
@@ -50,9 +52,13 @@
 }
 
 /**
- * Estimates the requests of all others: those that are reported, or their whole part if none of them is heard. Instances
+ * Estimates the requests of all others: those that are known, or their whole part if none of them is heard. Instances
  * that are no longer heard while others are have most likely ended, and their callers have gone to the others.
  */
-export function estimateOthers(partOfOthers: number, fleet: FleetView, heardRequests: number): number {
-	return fleet.heard === 0 && fleet.instances > 1 ? partOfOthers : heardRequests;
+export function estimateOthers(
+	partOfOthers: number,
+	fleet: FleetView,
+	{ otherRequests, isComplete }: Pick<CapacityUse, 'otherRequests' | 'isComplete'>,
+): number {
+	return fleet.heard === 0 && fleet.instances > 1 && !isComplete ? partOfOthers : otherRequests;
 }
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -215,7 +215,10 @@
 	private checkShort(load: ServiceCapacity, nowMs: number): boolean {
 		const fleet = this.options.readFleet();
 		const share = 1 / Math.max(1, fleet.instances);
-		const others = estimateOthers(load.concurrency * (1 - share), fleet, load.otherRequests);
+		const others = estimateOthers(load.concurrency * (1 - share), fleet, {
+			otherRequests: load.otherRequests,
+			isComplete: load.isStated,
+		});
 		const isShort =
 			load.concurrency > 0 && this.ownRequests + others + this.waiting >= SHORT_OCCUPANCY * load.concurrency;
 		this.shortAtMs = isShort ? nowMs : this.shortAtMs;
@@ -254,6 +257,7 @@
 		const use: CapacityUse = {
 			ownRequests: this.ownRequests,
 			otherRequests: load.otherRequests,
+			isComplete: load.isStated,
 			ownDemand: this.readDemand(this.nowMs),
 		};
 		return computeAllowance(capacity, this.options.readFleet(), use);
--- a/packages/gateway/src/common/serviceCapacity.ts
+++ b/packages/gateway/src/common/serviceCapacity.ts
@@ -10,9 +10,11 @@
 export interface ServiceCapacity {
 	/** Requests that the targets can run at once. */
 	readonly concurrency: number;
-	/** Requests of the other instances on the targets, as last reported. */
+	/** Requests of the other senders on the targets. */
 	readonly otherRequests: number;
-	/** Length of the shortest queue at a target, in requests that it runs at once; 0 if one is free. */
+	/** Whether the targets state their loads, so that those of other senders are known without hearing them. */
+	readonly isStated: boolean;
+	/** Length of the shortest queue at a target, in requests that it runs at once at its usual speed; 0 if one is free. */
 	readonly leastQueue: number;
 }
 
@@ -27,17 +29,21 @@
 export function estimateServiceCapacity(
 	targets: readonly TargetState[],
 	cache: CacheUse | undefined,
+	nowMs: number,
 ): ServiceCapacity {
 	let concurrency = 0;
 	let otherRequests = 0;
 	let leastQueue = targets.length === 0 ? 0 : Infinity;
-	for (const { load, peerRequests, record } of targets) {
-		const running = computeConcurrency(record.slots, cache);
+	let isStated = targets.length > 0;
+	for (const target of targets) {
+		const { requests, slowdown } = target.estimateLoad(nowMs);
+		const running = computeConcurrency(target.record.slots, cache);
 		concurrency += running;
-		otherRequests += peerRequests;
-		leastQueue = Math.min(leastQueue, Math.max(0, load + 1 - running) / running);
+		otherRequests += Math.max(0, requests - target.ownRequests);
+		leastQueue = Math.min(leastQueue, (slowdown * Math.max(0, requests + 1 - running)) / running);
+		isStated &&= target.statedLoad.isInUse;
 	}
-	return { concurrency, otherRequests, leastQueue };
+	return { concurrency, otherRequests, isStated, leastQueue };
 }
 
 function computeConcurrency(slots: number, cache: CacheUse | undefined): number {
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -198,9 +198,11 @@
 		return staying.length === 0 ? 0 : Math.min(...staying.map((target) => target.computePause(nowMs)));
 	}
 
-	/** Lists the targets of a service that can be reached and are not leaving. */
+	/** Lists the targets of a service that can be reached, are not leaving, and are in no evacuated zone. */
 	public listReachable(service: string, nowMs: number): readonly TargetState[] {
-		return this.listStaying(service, undefined).filter((target) => isReachable(target, nowMs));
+		return this.listStaying(service, undefined).filter(
+			(target) => !this.isEvacuated(target) && isReachable(target, nowMs),
+		);
 	}
 
 	/** Whether a service has a target of a version that is not leaving. */
--- a/packages/gateway/src/node/admissionControl.ts
+++ b/packages/gateway/src/node/admissionControl.ts
@@ -220,9 +220,11 @@
 	private estimateLoad(name: string): ServiceCapacity {
 		const capacityTokens = this.parts.findService(name)?.kvCacheTokens;
 		const tokensPerRequest = this.getService(name).tokensPerRequest;
+		const nowMs = performance.now();
 		return estimateServiceCapacity(
-			this.parts.targets.listReachable(name, performance.now()),
+			this.parts.targets.listReachable(name, nowMs),
 			capacityTokens === undefined ? undefined : { capacityTokens, tokensPerRequest },
+			nowMs,
 		);
 	}
 
--- a/packages/gateway/test/common/serviceAdmission.test.ts
+++ b/packages/gateway/test/common/serviceAdmission.test.ts
@@ -20,7 +20,7 @@
 		random: () => 0.5,
 		canWait: () => true,
 		readFleet: () => ({ instances: 1, heard: 0, demands: [] }),
-		readLoad: () => ({ concurrency: slots, otherRequests: 0, leastQueue }),
+		readLoad: () => ({ concurrency: slots, otherRequests: 0, isStated: false, leastQueue }),
 	});
 	admission.offer('first', REQUEST, 0);
 	admission.recordEnd('a');
@@ -102,15 +102,27 @@
 	const fleet = { instances: 10, heard: 9, demands: [] };
 
 	it('lends nearly all that others leave free while most is free, and only the own share once it is full', () => {
-		const idle = computeAllowance(100, fleet, { ownRequests: 5, otherRequests: 10, ownDemand: 1 });
-		const full = computeAllowance(100, fleet, { ownRequests: 10, otherRequests: 89, ownDemand: 1 });
+		const idle = computeAllowance(100, fleet, {
+			ownRequests: 5,
+			otherRequests: 10,
+			isComplete: false,
+			ownDemand: 1,
+		});
+		const full = computeAllowance(100, fleet, {
+			ownRequests: 10,
+			otherRequests: 89,
+			isComplete: false,
+			ownDemand: 1,
+		});
 		expect(idle).to.be.within(85, 95);
 		expect(full).to.be.within(10, 11);
 	});
 
 	it('allows only the own share to an instance that hears nobody', () => {
-		const use = { ownRequests: 0, otherRequests: 0, ownDemand: 1 };
-		expect(computeAllowance(100, { ...fleet, heard: 0 }, use)).to.be.closeTo(10, 0.001);
+		const use = { ownRequests: 0, otherRequests: 0, isComplete: false, ownDemand: 1 };
+		const isolated = { ...fleet, heard: 0 };
+		expect(computeAllowance(100, isolated, use)).to.be.closeTo(10, 0.001);
+		expect(computeAllowance(100, isolated, { ...use, isComplete: true })).to.be.above(90);
 	});
 
 	it('takes the demand of instances that report none for the mean', () => {
@@ -138,10 +150,10 @@
 describe('estimateServiceCapacity', () => {
 	it('counts the KV cache as capacity if it holds fewer prompts than there are slots', () => {
 		const engines = makeEngines([50, 20]);
-		const long = estimateServiceCapacity(engines, { capacityTokens: 365_638, tokensPerRequest: 9200 });
-		const short = estimateServiceCapacity(engines, { capacityTokens: 365_638, tokensPerRequest: 713 });
+		const long = estimateServiceCapacity(engines, { capacityTokens: 365_638, tokensPerRequest: 9200 }, 0);
+		const short = estimateServiceCapacity(engines, { capacityTokens: 365_638, tokensPerRequest: 713 }, 0);
 		expect(long.concurrency).to.equal(2 * 39);
 		expect(short.concurrency).to.equal(2 * 64);
-		expect(estimateServiceCapacity(makeEngines([79]), undefined).leastQueue).to.equal(0.25);
+		expect(estimateServiceCapacity(makeEngines([79]), undefined, 0).leastQueue).to.equal(0.25);
 	});
 });
--- a/packages/gateway/test/model/capacityFleet.ts
+++ b/packages/gateway/test/model/capacityFleet.ts
@@ -142,7 +142,7 @@
 				readLoad: () => {
 					const otherRequests = countOthers();
 					const leastQueue = Math.max(0, instance.own + otherRequests + 1 - slots) / slots;
-					return { concurrency: slots, otherRequests, leastQueue };
+					return { concurrency: slots, otherRequests, isStated: false, leastQueue };
 				},
 			}),
 		};
