Gossip between availability zones through relays

With direct gossip most datagrams cross zones: 55 a second for each of 32 instances in 3 zones, in a model of the real interval and fan-out. The relay changes each round; one that is silent or drains is not used, and a state that is sent because of a change goes through two. States carry the sender's time, so that late or reordered ones neither replace newer ones nor make a killed instance look alive. Older instances are sent to as before.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -38,6 +38,10 @@
 	readonly acceptsCompressed?: boolean;
 	/** Whether this instance sends heartbeats between its states, and reads them; undefined in small fleets. */
 	readonly sendsHeartbeats?: boolean;
+	/** Whether this instance relays the states of other zones to the peers of its own, and reads relayed ones. */
+	readonly relaysStates?: boolean;
+	/** When the state was sent, on the sender's clock in ms; each state has a later time than the one before. */
+	readonly sentAtMs?: number;
 	/** Whether callers may be directed to this instance. */
 	readonly isServing: boolean;
 	/** Whether this instance reaches targets itself; undefined from instances of an older version, which do not tell. */
@@ -96,7 +100,10 @@
 }
 
 /** The part of the state that a gateway describes; its membership of the fleet adds the rest. */
-export type GatewayState = Omit<PeerState, 'acceptsCompressed' | 'sendsHeartbeats' | 'known' | 'instance'>;
+export type GatewayState = Omit<
+	PeerState,
+	'acceptsCompressed' | 'sendsHeartbeats' | 'relaysStates' | 'sentAtMs' | 'known' | 'instance'
+>;
 
 /** Target, requests in flight on it, and prompt tokens that it still has to prefill for them. */
 export type TargetLoad = readonly [id: string, requests: number, prefillTokens: number];
--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -28,14 +28,17 @@
 
 	constructor(private readonly ownName: string) {}
 
-	/** Stores the state from a message. Returns the previous state of that peer. */
-	public update(state: PeerState, nowMs: number): PeerState | undefined {
+	/**
+	 * Stores the state from a message. Returns the previous state of that peer.
+	 * @param ageMs time for which the message was under way beyond what is usual
+	 */
+	public update(state: PeerState, nowMs: number, ageMs = 0): PeerState | undefined {
 		const { name } = state.instance;
 		if (name === this.ownName) {
 			return undefined;
 		}
 		const known = this.peers.get(name);
-		this.peers.set(name, { state, receivedAtMs: nowMs });
+		this.peers.set(name, { state, receivedAtMs: nowMs - ageMs });
 		return known?.state;
 	}
 
@@ -70,6 +73,14 @@
 		return [...this.peers.values()].map(({ state }) => state);
 	}
 
+	/** Lists all peers with the ages of their states in ms. */
+	public listWithAges(nowMs: number): readonly { readonly state: PeerState; readonly ageMs: number }[] {
+		return [...this.peers.values()].map(({ state, receivedAtMs }) => ({
+			state,
+			ageMs: nowMs - receivedAtMs,
+		}));
+	}
+
 	/** Lists the peers to which callers may be directed. */
 	public listServing(nowMs: number): readonly PeerState[] {
 		return [...this.peers.values()]
--- a/packages/gateway/src/common/promptUpdateBuffer.ts
+++ b/packages/gateway/src/common/promptUpdateBuffer.ts
@@ -14,11 +14,14 @@
 export class PromptUpdateBuffer {
 	private entries: { readonly update: PromptUpdate; readonly expiresAtMs: number }[] = [];
 
+	/** @param computeInterval returns the time between two messages to the same peer in ms, by the number of peers */
+	constructor(private readonly computeInterval = computePeerInterval) {}
+
 	/** @param peers number of peers that are to receive the update */
 	public add(target: string, chain: PromptChain, peers: number, nowMs: number): void {
 		const links = listSharedLinks(chain).flatMap(({ hash, tokens }) => [hash, tokens]);
 		const update = { target, links };
-		const ttlMs = MESSAGES_PER_UPDATE * computePeerInterval(peers) + ROUND_DELAY_MS;
+		const ttlMs = MESSAGES_PER_UPDATE * this.computeInterval(peers) + ROUND_DELAY_MS;
 		this.entries.push({ update, expiresAtMs: nowMs + ttlMs });
 	}
 
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -3,13 +3,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { sampleAddresses, splitAddress } from '../common/addresses.js';
 import type { EventLog } from '../common/eventLog.js';
-import { countHeartbeatGroups, GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
+import { computePeerInterval, countHeartbeatGroups, GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { HeartbeatMessage } from '../common/peerMessage.js';
 import { encodePeerMessage } from '../common/peerMessage.js';
 import type { FleetInstance, GatewayState, PeerState } from '../common/peerState.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import { PeerTable } from '../common/peerTable.js';
+import { StateAges } from '../common/stateAges.js';
+import type { GossipPlan } from '../common/zoneRelays.js';
+import { ROUND_RELAYS, URGENT_RELAYS, ZoneRelays, computeRelayedInterval } from '../common/zoneRelays.js';
 import { PeerTransport } from './peerTransport.js';
 
 /** How often this instance's entry in the store is renewed; its lease expires after 10 s. */
@@ -28,6 +31,8 @@
 const INITIAL_ADDRESS_GOSSIP_ROUNDS = 8;
 /** How long state is sent to an address that never answers. */
 const CANDIDATE_TTL_MS = 30_000;
+/** A state that was under way for longer is dropped; the peer would have been discarded by then. */
+const MAX_STATE_AGE_MS = 4000;
 /** Minimum time between two logged errors. */
 const ERROR_LOG_INTERVAL_MS = 1000;
 
@@ -35,6 +40,8 @@
 	readonly self: FleetInstance;
 	/** Control addresses that are contacted first. */
 	readonly seeds: readonly string[];
+	/** Whether states go to other availability zones through relays, since bytes between zones are expensive. */
+	readonly usesZoneRelays: boolean;
 	readonly store: MetadataStore;
 	readonly log: EventLog;
 	/** Returns the state to advertise now, without the addresses of peers. */
@@ -57,6 +64,13 @@
 	readonly documents: Readonly<Record<string, () => string | undefined>>;
 }
 
+/** Bytes of datagrams by where they went; unknown are addresses of which nothing has been heard yet. */
+export interface SentBytes {
+	withinZone: number;
+	betweenZones: number;
+	unknown: number;
+}
+
 export class FleetMembership implements Disposable {
 	public readonly peers: PeerTable;
 	private readonly transport: PeerTransport;
@@ -65,6 +79,12 @@
 	private readonly candidates = new Map<string, number>();
 	/** Control addresses of instances of other fleets, so that each is logged once. */
 	private readonly foreignAddresses = new Set<string>();
+	private readonly relays: ZoneRelays;
+	private readonly stateAges = new StateAges();
+	/** Availability zones by control address, for the count of bytes. */
+	private readonly zonesByAddress = new Map<string, string>();
+	private readonly sentBytes: SentBytes = { withinZone: 0, betweenZones: 0, unknown: 0 };
+	private lastSentAtMs = 0;
 	private rounds = 0;
 	private nextRoundMs = 0;
 	private nextRegistrationMs = 0;
@@ -74,13 +94,16 @@
 	constructor(private readonly parts: FleetMembershipParts) {
 		const { self, seeds } = parts;
 		this.peers = new PeerTable(self.name);
+		this.relays = new ZoneRelays(self.zone, Math.random());
 		for (const seed of seeds) {
 			this.candidates.set(seed, Infinity);
 		}
 		this.transport = new PeerTransport({
 			address: self.controlAddress,
-			onState: (state) => {
-				this.handleState(state);
+			onState: (state) => this.handleState(state),
+			listRelayRecipients: (state) => this.listRelayRecipients(state),
+			onDidSend: (address, bytes) => {
+				this.countSentBytes(address, bytes);
 			},
 			onMessage: (message, controlAddress) => {
 				parts.onMessage(message, controlAddress);
@@ -109,7 +132,7 @@
 			this.parts.log.write('state', 'peerLost', { peer: state.instance.name });
 		}
 		if (nowMs >= this.nextRoundMs) {
-			this.announce(nowMs);
+			this.sendState(nowMs, ROUND_RELAYS);
 		}
 		if (nowMs >= this.nextRegistrationMs) {
 			const isStarting = this.nextRegistrationMs === 0;
@@ -127,7 +150,30 @@
 
 	/** Sends this instance's state to its peers at once. */
 	public announce(nowMs: number): void {
-		this.nextRoundMs = nowMs + GOSSIP_INTERVAL_MS;
+		this.sendState(nowMs, URGENT_RELAYS);
+	}
+
+	/** Returns the time between two states of the same peer in ms. */
+	public computePeerInterval(peers: number): number {
+		return this.parts.usesZoneRelays ? computeRelayedInterval(peers) : computePeerInterval(peers);
+	}
+
+	/** Returns the mean age of the states of the peers in ms. */
+	public computeMeanStateAge(nowMs: number): number {
+		const peers = this.peers.listWithAges(nowMs);
+		return peers.reduce((sum, { ageMs }) => sum + ageMs, 0) / Math.max(1, peers.length);
+	}
+
+	/** Returns the bytes of the datagrams that were sent. */
+	public readSentBytes(): Readonly<SentBytes> {
+		return this.sentBytes;
+	}
+
+	/** @param relays number of relays for each other zone */
+	private sendState(nowMs: number, relays: number): void {
+		const plan = this.planRelays(nowMs, relays);
+		const peers = this.peers.listAll().length;
+		this.nextRoundMs = nowMs + (plan === undefined ? GOSSIP_INTERVAL_MS : computeRelayedInterval(peers));
 		const known = this.listPeerAddresses();
 		const includesAddresses =
 			this.rounds < INITIAL_ADDRESS_GOSSIP_ROUNDS || this.rounds % ADDRESS_GOSSIP_ROUNDS === 0;
@@ -142,8 +188,17 @@
 			}
 		}
 		addresses.delete(this.parts.self.controlAddress);
-		const due = this.transport.send(state, [...addresses], this.listCompressedAddresses());
-		this.sendHeartbeats(state, new Set(due));
+		if (plan !== undefined) {
+			const older = new Set(plan.older);
+			for (const address of known.filter((peer) => !older.has(peer))) {
+				addresses.delete(address);
+			}
+			this.transport.sendWithRelays(state, plan.direct, plan.relays);
+		}
+		if (addresses.size > 0) {
+			const due = this.transport.send(state, [...addresses], this.listCompressedAddresses());
+			this.sendHeartbeats(state, new Set(due));
+		}
 	}
 
 	/** Handles a sign of life of a peer between its states. */
@@ -187,6 +242,37 @@
 		}
 	}
 
+	/** Returns undefined if the state goes to all peers directly, as in the first rounds of an instance that starts. */
+	private planRelays(nowMs: number, relays: number): GossipPlan | undefined {
+		if (!this.parts.usesZoneRelays || this.rounds < INITIAL_ADDRESS_GOSSIP_ROUNDS) {
+			return undefined;
+		}
+		const peers = this.peers.listWithAges(nowMs).map(({ state, ageMs }) => ({
+			controlAddress: state.instance.controlAddress,
+			zone: state.instance.zone,
+			relaysStates: state.relaysStates === true,
+			isServing: state.isServing,
+			ageMs,
+		}));
+		return this.relays.plan(peers, relays);
+	}
+
+	private listRelayRecipients({ instance }: PeerState): readonly string[] {
+		const { zone } = this.parts.self;
+		return this.peers
+			.listAll()
+			.filter((peer) => peer.relaysStates === true && peer.instance.zone === zone)
+			.map((peer) => peer.instance.controlAddress)
+			.filter((address) => address !== instance.controlAddress);
+	}
+
+	private countSentBytes(address: string, bytes: number): void {
+		const zone = this.zonesByAddress.get(address);
+		const scope =
+			zone === undefined ? 'unknown' : zone === this.parts.self.zone ? 'withinZone' : 'betweenZones';
+		this.sentBytes[scope] += bytes;
+	}
+
 	private listCompressedAddresses(): ReadonlySet<string> {
 		const peers = this.peers.listAll().filter(({ acceptsCompressed }) => acceptsCompressed === true);
 		return new Set(peers.map(({ instance }) => instance.controlAddress));
@@ -202,22 +288,35 @@
 			...this.parts.describeSelf(),
 			acceptsCompressed: true,
 			...(countHeartbeatGroups(this.peers.listAll().length) > 0 ? { sendsHeartbeats: true } : {}),
+			...(this.parts.usesZoneRelays ? { relaysStates: true, sentAtMs: this.nextSendTime() } : {}),
 			instance: this.parts.self,
 			known: sampleAddresses(known, MAX_GOSSIPED_ADDRESSES, Math.random()),
 		};
 	}
 
-	private handleState(state: PeerState): void {
+	/** Returns the present time in whole ms, later than that of the last state. */
+	private nextSendTime(): number {
+		this.lastSentAtMs = Math.max(Math.round(performance.now()), this.lastSentAtMs + 1);
+		return this.lastSentAtMs;
+	}
+
+	/** Returns whether the state is of this fleet and newer than the last one of its sender. */
+	private handleState(state: PeerState): boolean {
 		const { fleet, name, controlAddress } = state.instance;
 		if (fleet !== this.parts.self.fleet) {
 			this.dropForeignInstance(state.instance);
-			return;
+			return false;
 		}
 		if (name === this.parts.self.name) {
-			return;
+			return false;
 		}
 		const nowMs = performance.now();
-		const previous = this.peers.update(state, nowMs);
+		const ageMs = this.stateAges.record(state, nowMs);
+		if (ageMs === undefined || ageMs > MAX_STATE_AGE_MS) {
+			return false;
+		}
+		const previous = this.peers.update(state, nowMs, ageMs);
+		this.zonesByAddress.set(controlAddress, state.instance.zone);
 		this.candidates.set(controlAddress, nowMs + CANDIDATE_TTL_MS);
 		for (const address of state.known) {
 			if (!this.candidates.has(address)) {
@@ -242,7 +341,8 @@
 				configurationVersion: state.configurationVersion,
 			});
 		}
-		this.parts.onPeerState(state, previous);
+		this.parts.onPeerState({ ...state, targetsAgeMs: state.targetsAgeMs + Math.round(ageMs) }, previous);
+		return true;
 	}
 
 	/** An address may have been reassigned to another fleet, whose state does not apply here. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -65,6 +65,8 @@
 	readonly hasEvacuations?: boolean;
 	/** Bounds for cold targets; undefined if no target is treated as cold. */
 	readonly coldTargets?: ColdTargetBounds | undefined;
+	/** Whether to save bytes between availability zones: by relays of gossip, and by the choice of targets. */
+	readonly savesZoneTraffic?: boolean;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
 	/** Whether capacity is shared out while a service has less of it than its callers ask for. */
@@ -153,6 +155,8 @@
 			peers: this.membership.peers.listAll().length,
 			evacuatedZones: this.evacuationSync.zoneCount,
 			coldTargets: this.coldTargetSync.coldTargets,
+			peerStateAgeMs: this.membership.computeMeanStateAge(performance.now()),
+			sentGossipBytes: this.membership.readSentBytes(),
 			droppedLogLines: dependencies.readDroppedLogLines(),
 			targetSends: [...this.targets.all].map(({ record, sentRequests }) => ({
 				service: record.service,
@@ -327,6 +331,7 @@
 		this.membership = new FleetMembership({
 			self: settings.self,
 			seeds: settings.seeds,
+			usesZoneRelays: settings.savesZoneTraffic ?? false,
 			store,
 			log,
 			describeSelf: () => this.peerExchange.describeSelf(),
@@ -390,6 +395,7 @@
 			},
 			readOwnRank: () => this.membership.peers.findRankAmongLive(performance.now()),
 			countPeers: () => this.membership.peers.listAll().length,
+			computeGossipInterval: (peers) => this.membership.computePeerInterval(peers),
 		});
 		this.peerExchange = new PeerExchange({
 			store,
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -14,6 +14,10 @@
 	readonly peers: number;
 	readonly evacuatedZones: number;
 	readonly coldTargets: number;
+	/** Mean age of the peers' states. */
+	readonly peerStateAgeMs: number;
+	/** Bytes of gossip and messages sent, by where they went. */
+	readonly sentGossipBytes: Readonly<Record<string, number>>;
 	readonly droppedLogLines: number;
 	readonly targetSends: readonly TargetSends[];
 	/** Requests that wait for capacity. */
@@ -150,6 +154,23 @@
 	add('papayawell_evacuated_zones', 'Zones to whose targets nothing is sent.', (g) => g.evacuatedZones);
 	add('papayawell_cold_targets', 'Targets that are treated as cold.', (g) => g.coldTargets);
 	add('papayawell_waiting_requests', 'Requests that wait for capacity.', (g) => g.waiting);
+	add(
+		'papayawell_peer_state_age_seconds',
+		'Mean age of the states of other instances.',
+		(g) => g.peerStateAgeMs / 1000,
+	);
+	new Counter({
+		name: 'papayawell_gossip_bytes_total',
+		help: 'Bytes of gossip and messages to other instances, by where they went.',
+		labelNames: ['scope'],
+		registers,
+		collect() {
+			this.reset();
+			for (const [scope, bytes] of Object.entries(readGauges().sentGossipBytes)) {
+				this.inc({ scope }, bytes);
+			}
+		},
+	});
 	add('papayawell_log_lines_dropped', 'Log lines dropped since the start.', (g) => g.droppedLogLines);
 	new Gauge({
 		name: 'papayawell_target_sends',
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -27,9 +27,12 @@
 	return Buffer.from(JSON.stringify(state));
 }
 
-/** Compresses an encoded state if it is large. */
-export function encodeCompressed(encoded: Buffer): Buffer {
-	return encoded.length >= MIN_COMPRESSED_BYTES
+/**
+ * Compresses an encoded state if it is large.
+ * @param minBytes size from which it is compressed
+ */
+export function encodeCompressed(encoded: Buffer, minBytes = MIN_COMPRESSED_BYTES): Buffer {
+	return encoded.length >= minBytes
 		? Buffer.concat([Buffer.of(COMPRESSED_MARK), deflateRawSync(encoded, { dictionary: DICTIONARY })])
 		: encoded;
 }
@@ -57,6 +60,8 @@
 		typeof state.configurationVersion === 'number' &&
 		typeof state.targetsRevision === 'number' &&
 		(state.storeEra === undefined || Number.isSafeInteger(state.storeEra)) &&
+		(state.sentAtMs === undefined || Number.isSafeInteger(state.sentAtMs)) &&
+		(state.relaysStates === undefined || typeof state.relaysStates === 'boolean') &&
 		(state.hasTargetPath === undefined || typeof state.hasTargetPath === 'boolean') &&
 		(state.sendsHeartbeats === undefined || typeof state.sendsHeartbeats === 'boolean') &&
 		isOptionalList(state.leaving, isTargetStart) &&
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -12,7 +12,7 @@
 import type { PeerState } from '../common/peerState.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import { readRelayHeaders } from '../common/relayHeaders.js';
-import { encodeCompressed, decodePeerState, encodePeerState } from './peerStateCodec.js';
+import { decodePeerState, encodeCompressed, encodePeerState } from './peerStateCodec.js';
 import { listenAt } from './listenAt.js';
 
 /** Time-out of a fetch from a peer in the same region. */
@@ -24,11 +24,22 @@
 const HTTP_MISDIRECTED_REQUEST = 421;
 /** First byte of a datagram that holds a message rather than a state; neither JSON nor a compressed state begins with it. */
 const MESSAGE_MARK = 2;
+/** First byte of a datagram with a state that the recipient is to relay within its zone; the encoded state follows. */
+const RELAY_MARK = 3;
+/** First byte of a datagram with a state that was relayed. */
+const RELAYED_MARK = 4;
+/** Size from which states to relay are compressed: smaller than of others, since bytes between zones are expensive. */
+const MIN_COMPRESSED_RELAY_BYTES = 300;
 
 export interface PeerTransportOptions {
 	/** IP address and port, for datagrams and HTTP. */
 	readonly address: string;
-	readonly onState: (state: PeerState) => void;
+	/** Returns whether the state is of this fleet and newer than the last one of its sender. */
+	readonly onState: (state: PeerState) => boolean;
+	/** Lists the control addresses of the instances to which a state of another zone is relayed. */
+	readonly listRelayRecipients: (state: PeerState) => readonly string[];
+	/** Called with the size of each datagram that is sent. */
+	readonly onDidSend: (address: string, bytes: number) => void;
 	/** @param controlAddress address of the instance that sent the message */
 	readonly onMessage: (message: Buffer, controlAddress: string) => void;
 	/** Documents that peers may fetch, by path. */
@@ -50,10 +61,13 @@
 	constructor(private readonly options: PeerTransportOptions) {
 		this.socket = createSocket('udp4');
 		this.socket.on('message', (bytes, { address, port }) => {
-			if (bytes[0] === MESSAGE_MARK) {
+			const mark = bytes[0];
+			if (mark === MESSAGE_MARK) {
 				options.onMessage(bytes.subarray(1), `${address}:${port}`);
+			} else if (mark === RELAY_MARK) {
+				this.forwardState(bytes.subarray(1));
 			} else {
-				this.handleDatagram(bytes);
+				this.handleDatagram(mark === RELAYED_MARK ? bytes.subarray(1) : bytes);
 			}
 		});
 		this.socket.on('error', (error) => {
@@ -113,6 +127,24 @@
 		return heartbeats;
 	}
 
+	/** Sends a state to all given control addresses, which read compressed states, and to relays for their zones. */
+	public sendWithRelays(state: PeerState, direct: readonly string[], relays: readonly string[]): void {
+		const encoded = encodeCompressed(encodePeerState(state), MIN_COMPRESSED_RELAY_BYTES);
+		if (encoded.length > MAX_DATAGRAM_BYTES) {
+			this.options.onError(
+				`state not sent: ${encoded.length} bytes exceed the limit of ${MAX_DATAGRAM_BYTES}`,
+			);
+			return;
+		}
+		for (const address of direct) {
+			this.sendDatagram(encoded, address);
+		}
+		const toRelay = Buffer.concat([Buffer.of(RELAY_MARK), encoded]);
+		for (const address of relays) {
+			this.sendDatagram(toRelay, address);
+		}
+	}
+
 	/** Sends a message to one instance, once; it may get lost. */
 	public sendMessage(message: Buffer, address: string): void {
 		this.sendDatagram(Buffer.concat([Buffer.of(MESSAGE_MARK), message]), address);
@@ -151,6 +183,7 @@
 
 	private sendDatagram(bytes: Buffer, address: string): void {
 		const { host, port } = splitAddress(address);
+		this.options.onDidSend(address, bytes.length);
 		this.socket.send(bytes, port, host, (error) => {
 			if (error !== null) {
 				this.options.onError(error.message);
@@ -158,14 +191,26 @@
 		});
 	}
 
-	private handleDatagram(bytes: Buffer): void {
+	private forwardState(bytes: Buffer): void {
+		const state = this.handleDatagram(bytes);
+		if (state === undefined) {
+			return;
+		}
+		const relayed = Buffer.concat([Buffer.of(RELAYED_MARK), bytes]);
+		for (const address of this.options.listRelayRecipients(state)) {
+			this.sendDatagram(relayed, address);
+		}
+	}
+
+	/** Returns the state if it is valid and new. */
+	private handleDatagram(bytes: Buffer): PeerState | undefined {
 		let state: PeerState;
 		try {
 			state = decodePeerState(bytes);
 		} catch (error) {
 			this.options.onError(`datagram cannot be decoded: ${String(error)}`);
-			return;
+			return undefined;
 		}
-		this.options.onState(state);
+		return this.options.onState(state) ? state : undefined;
 	}
 }
--- a/packages/gateway/src/node/promptCacheSync.ts
+++ b/packages/gateway/src/node/promptCacheSync.ts
@@ -60,13 +60,15 @@
 	/** Rank of this instance among all instances. */
 	readonly readOwnRank: () => number;
 	readonly countPeers: () => number;
+	/** Returns the time between two states to the same peer in ms, by the number of peers; by default that without relays. */
+	readonly computeGossipInterval?: (peers: number) => number;
 }
 
 /** Knowledge of the prefix caches that a peer advertises. */
 export type PeerPromptState = Pick<PeerState, 'instance' | 'promptTokens' | 'promptKnowledge'>;
 
 export class PromptCacheSync {
-	private readonly recentPrompts = new PromptUpdateBuffer();
+	private readonly recentPrompts: PromptUpdateBuffer;
 	private nextFetchMs = 0;
 	private isFetching = false;
 	/** When configuration and targets were first known. Nothing can be adopted before. */
@@ -77,7 +79,9 @@
 	/** Until then this instance waits for a peer that queries the engines. */
 	private peerQueryDeadlineMs = -Infinity;
 
-	constructor(private readonly parts: PromptCacheSyncParts) {}
+	constructor(private readonly parts: PromptCacheSyncParts) {
+		this.recentPrompts = new PromptUpdateBuffer(parts.computeGossipInterval);
+	}
 
 	/** Knowledge of this instance about the prompt parts that engines had cached before it started. */
 	public get knowledge(): PromptKnowledge {
--- a/packages/gateway/test/common/fixtures.ts
+++ b/packages/gateway/test/common/fixtures.ts
@@ -1,4 +1,5 @@
 import type { GatewayConfiguration, Route } from '../../src/common/gatewayConfiguration.js';
+import type { PeerState } from '../../src/common/peerState.js';
 import type { TargetRecord } from '../../src/common/targetRecord.js';
 import { TargetState } from '../../src/common/targetState.js';
 
@@ -53,3 +54,28 @@
 		return state;
 	});
 }
+
+export function makePeerState(name: string, changes: Partial<PeerState> = {}): PeerState {
+	return {
+		instance: {
+			fleet: '',
+			name,
+			incarnation: '1',
+			zone: 'a',
+			callersAddress: `${name}:1`,
+			controlAddress: `${name}:2`,
+		},
+		isServing: true,
+		configurationVersion: 1,
+		targetsRevision: 1,
+		targetsAgeMs: 0,
+		targetsDigest: 0,
+		loads: [],
+		prompts: [],
+		promptTokens: 0,
+		promptKnowledge: 'own' as const,
+		crashes: [],
+		known: [],
+		...changes,
+	};
+}
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -6,29 +6,10 @@
 } from '../../src/common/gossipInterval.js';
 import type { PeerState } from '../../src/common/peerState.js';
 import { PeerTable } from '../../src/common/peerTable.js';
+import { makePeerState } from './fixtures.js';
 
 function makeState(name: string, isServing = true): PeerState {
-	return {
-		instance: {
-			fleet: '',
-			name,
-			incarnation: '1',
-			zone: 'a',
-			callersAddress: `${name}:1`,
-			controlAddress: `${name}:2`,
-		},
-		isServing,
-		configurationVersion: 1,
-		targetsRevision: 1,
-		targetsAgeMs: 0,
-		targetsDigest: 0,
-		loads: [],
-		prompts: [],
-		promptTokens: 0,
-		promptKnowledge: 'own' as const,
-		crashes: [],
-		known: [],
-	};
+	return makePeerState(name, { isServing });
 }
 
 describe('PeerTable', () => {
--- a/packages/gateway/test/node/gatewayMetrics.test.ts
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -9,6 +9,8 @@
 			peers: 3,
 			evacuatedZones: 0,
 			coldTargets: 0,
+			peerStateAgeMs: 250,
+			sentGossipBytes: { withinZone: 900, betweenZones: 70 },
 			droppedLogLines: 0,
 			waiting: 0,
 			targetSends: [{ service: 's', target: 'x', requests: 4 }],
@@ -28,5 +30,7 @@
 		expect(text).to.contain('papayawell_target_sends{service="s",target="x"} 4');
 		expect(text).to.contain('papayawell_configuration_version 7');
 		expect(text).to.contain('papayawell_targets_age_seconds 0.5');
+		expect(text).to.contain('papayawell_peer_state_age_seconds 0.25');
+		expect(text).to.contain('papayawell_gossip_bytes_total{scope="betweenZones"} 70');
 	});
 });
