Place long prefixes on cold caches by prefill queue, and announce them at once

When all caches are empty, instances that hear of one another after up to a second place the same prefix on several engines, and several prefixes on the same one. Only for services whose targets report how slow they are (`statedLoad.isInUse`).

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -54,6 +54,13 @@
 /** Prompt tokens by which its prefill queue may be longer: about 20 ms. */
 const ZONE_PREFILL_MARGIN_TOKENS = 1000;
 
+/** Prefixes with fewer uncached tokens are not placed by prefill queue: they take less than 70 ms to prefill. */
+export const MIN_QUEUED_TOKENS = 4000;
+/** Engines among which the one for a long uncached prefix is chosen. */
+const QUEUE_CANDIDATES = 6;
+/** Tokens by which the prefill queue of the first of them may exceed the shortest. */
+const QUEUE_MARGIN_TOKENS = 1000;
+
 /** Preference for the engines of this instance's zone, so that requests and answers do not cross zones. */
 export interface ZonePreference {
 	readonly ownZone: string;
@@ -118,7 +125,7 @@
 	const candidates = targets.map((target, index) => {
 		const { requests, slowdown } = estimates[index] ?? target.estimateLoad(nowMs);
 		const load = requests * Math.max(1, slowdown / meanSlowdown);
-		return buildCandidate(target, request.prompt, source, meanLoad, load, slowdown);
+		return buildCandidate(target, request.prompt, source, meanLoad, load, slowdown, nowMs);
 	});
 	const choice = chooseCandidate(candidates, request);
 	if (choice === undefined) {
@@ -139,13 +146,16 @@
 	const prefillLimit = computePrefillLimit(withinLoadLimit, objectiveMs);
 	const withinObjective = withinLoadLimit.filter(({ prefillTokens }) => prefillTokens <= prefillLimit);
 	const cached = findMostCached(withinObjective);
-	const isSharedPrefixCached = cached.cachedTokens >= countSharedTokens(chain);
+	const missingTokens = countSharedTokens(chain) - cached.cachedTokens;
 	const faster = listFaster(withinObjective, cached);
-	const best = !isSharedPrefixCached
-		? chooseUncached(candidates, withinObjective, prefillLimit, chain)
-		: faster.length === 0
-			? cached
-			: pickByPrefixHash(faster, candidates.length, chain);
+	const best =
+		cached.target.statedLoad.isInUse && missingTokens >= MIN_QUEUED_TOKENS
+			? chooseByPrefillQueue(withinLoadLimit, chain)
+			: missingTokens > 0
+				? chooseUncached(candidates, withinObjective, prefillLimit, chain)
+				: faster.length === 0
+					? cached
+					: pickByPrefixHash(faster, candidates.length, chain);
 	const choice =
 		zonePreference === undefined
 			? best
@@ -191,6 +201,21 @@
 		: [];
 }
 
+/**
+ * Chooses an engine for a long prefix that no engine is known to have cached, among the few that its hash ranks first:
+ * the first of them unless another has much less to prefill. Instances that know little of one another choose the same
+ * one, and those that know of a queue choose the same next one.
+ */
+function chooseByPrefillQueue(candidates: readonly Candidate[], chain: PromptChain): Candidate {
+	const sharedPrefixHash = chain.at(chain.length > 1 ? -2 : -1)?.hash ?? 0;
+	const ranked = [...candidates]
+		.sort((a, b) => computeRendezvousScore(sharedPrefixHash, b) - computeRendezvousScore(sharedPrefixHash, a))
+		.slice(0, QUEUE_CANDIDATES);
+	const fewestTokens = Math.min(...ranked.map(({ prefillTokens }) => prefillTokens));
+	const choice = ranked.find(({ prefillTokens }) => prefillTokens <= fewestTokens + QUEUE_MARGIN_TOKENS);
+	return choice ?? findMostCached(candidates);
+}
+
 /**
  * Chooses an engine of the own zone in place of `best` if callers lose nothing by it: one that has as much cached, or on
  * which a copy of the prefix is worth its prefill. A prefix that is used seldom is kept on one engine of all zones.
@@ -260,6 +285,7 @@
 	meanLoad: number,
 	load: number,
 	slowdown: number,
+	nowMs: number,
 ): Candidate {
 	const cachedTokens = target.prefixCache.countCachedTokens(prompt);
 	const savedShare = Math.min(1, cachedTokens / MAX_LIMIT_CACHED_TOKENS);
@@ -268,7 +294,8 @@
 	const { slots } = target.record;
 	const uncachedTokens = countTokens(prompt) - cachedTokens;
 	const fetchSavingTokens = (1 - FETCH_TIME_RATIO) * countFetchedTokens(source, cachedTokens);
-	const prefillTokens = slowdown * (target.prefillTokens + uncachedTokens - fetchSavingTokens);
+	const queuedTokens = target.computePrefillTokens(nowMs);
+	const prefillTokens = slowdown * (queuedTokens + uncachedTokens - fetchSavingTokens);
 	return {
 		target,
 		cachedTokens,
--- a/packages/gateway/src/common/peerMessage.ts
+++ b/packages/gateway/src/common/peerMessage.ts
@@ -41,8 +41,25 @@
 	readonly startedAtMs: number;
 }
 
+/** Tells that a prompt was sent to an engine that had little of its shared part cached. */
+export interface PlacementMessage {
+	readonly kind: 'placement';
+	readonly target: string;
+	/** Start of the engine's process in epoch ms. */
+	readonly startedAtMs: number;
+	/** Shared tokens that the engine has to prefill. */
+	readonly prefillTokens: number;
+	/** Alternating hash and token count of each shared part. */
+	readonly links: readonly number[];
+}
+
 export type PeerMessage =
-	StreamOriginMessage | RejectionMessage | HeartbeatMessage | ColdTargetMessage | UnreachableTargetMessage;
+	| StreamOriginMessage
+	| RejectionMessage
+	| HeartbeatMessage
+	| ColdTargetMessage
+	| UnreachableTargetMessage
+	| PlacementMessage;
 
 /** Messages by which instances tell and ask one another of the origins of streams. */
 export type StreamOriginMessage =
@@ -116,6 +133,15 @@
 			);
 		case 'unreachable':
 			return typeof message.target === 'string' && Number.isSafeInteger(message.startedAtMs);
+		case 'placement':
+			return (
+				typeof message.target === 'string' &&
+				Number.isSafeInteger(message.startedAtMs) &&
+				Number.isSafeInteger(message.prefillTokens) &&
+				Number(message.prefillTokens) >= 0 &&
+				Array.isArray(message.links) &&
+				message.links.every((item) => Number.isSafeInteger(item) && Number(item) >= 0)
+			);
 		default:
 			return false;
 	}
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -42,6 +42,8 @@
 	readonly relaysStates?: boolean;
 	/** When the state was sent, on the sender's clock in ms; each state has a later time than the one before. */
 	readonly sentAtMs?: number;
+	/** Whether this instance reads messages of placements; undefined from instances of an older version. */
+	readonly acceptsPlacements?: boolean;
 	/** Whether callers may be directed to this instance. */
 	readonly isServing: boolean;
 	/** Whether this instance reaches targets itself; undefined from instances of an older version, which do not tell. */
@@ -102,7 +104,13 @@
 /** The part of the state that a gateway describes; its membership of the fleet adds the rest. */
 export type GatewayState = Omit<
 	PeerState,
-	'acceptsCompressed' | 'sendsHeartbeats' | 'relaysStates' | 'sentAtMs' | 'known' | 'instance'
+	| 'acceptsCompressed'
+	| 'acceptsPlacements'
+	| 'sendsHeartbeats'
+	| 'relaysStates'
+	| 'sentAtMs'
+	| 'known'
+	| 'instance'
 >;
 
 /** Target, requests in flight on it, and prompt tokens that it still has to prefill for them. */
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -17,6 +17,9 @@
 /** Time without a response in which half of what is known of a target's slowness is forgotten. */
 const SLOWDOWN_HALF_LIFE_MS = 700;
 
+/** Rate at which announced prompts are assumed to be prefilled; engines take 25 to 57 tokens in a ms. */
+const ANNOUNCED_TOKENS_PER_MS = 30;
+
 export class TargetState {
 	public readonly nameHash: number;
 	public readonly health = new TargetHealth();
@@ -37,6 +40,9 @@
 	public ownPrefillTokens = 0;
 	/** Prompt tokens that the target still has to prefill for requests of the other instances, as last reported. */
 	public peerPrefillTokens = 0;
+	/** Prompt tokens that other instances announced to have sent, at the time of the last announcement. */
+	private announcedPrefillTokens = 0;
+	private announcedAtMs = 0;
 	/** Exponentially weighted moving average of the time to the response head, in ms; 0 before the first response. */
 	private averageTimeToHeadMs = 0;
 	private respondedAtMs = -Infinity;
@@ -81,6 +87,22 @@
 		return this.ownPrefillTokens + this.peerPrefillTokens;
 	}
 
+	/** Records that another instance has just sent a prompt with so many tokens to prefill. */
+	public recordAnnouncedPrefill(tokens: number, nowMs: number): void {
+		this.announcedPrefillTokens = this.computeAnnouncedPrefill(nowMs) + tokens;
+		this.announcedAtMs = nowMs;
+	}
+
+	/** Prompt tokens that the target still has to prefill, with those that were announced after the last report. */
+	public computePrefillTokens(nowMs: number): number {
+		return this.ownPrefillTokens + Math.max(this.peerPrefillTokens, this.computeAnnouncedPrefill(nowMs));
+	}
+
+	private computeAnnouncedPrefill(nowMs: number): number {
+		const prefilledTokens = ANNOUNCED_TOKENS_PER_MS * (nowMs - this.announcedAtMs);
+		return Math.max(0, this.announcedPrefillTokens - prefilledTokens);
+	}
+
 	/** Records that the target wants no request until `untilMs`. An earlier, longer request stays in force. */
 	public recordBackOff(untilMs: number): void {
 		this.backOffUntilMs = Math.max(this.backOffUntilMs, untilMs);
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -288,6 +288,7 @@
 			...this.parts.describeSelf(),
 			acceptsCompressed: true,
 			...(countHeartbeatGroups(this.peers.listAll().length) > 0 ? { sendsHeartbeats: true } : {}),
+			acceptsPlacements: true,
 			...(this.parts.usesZoneRelays ? { relaysStates: true, sentAtMs: this.nextSendTime() } : {}),
 			instance: this.parts.self,
 			known: sampleAddresses(known, MAX_GOSSIPED_ADDRESSES, Math.random()),
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -12,6 +12,7 @@
 import type { FleetInstance, PeerState } from '../common/peerState.js';
 import type { PeerMessage } from '../common/peerMessage.js';
 import { decodePeerMessage, encodePeerMessage } from '../common/peerMessage.js';
+import { PlacementAnnouncer } from '../common/placementAnnouncer.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
@@ -134,6 +135,7 @@
 	private readonly targetListSync: TargetListSync;
 	private readonly promptCacheSync: PromptCacheSync;
 	private readonly peerExchange: PeerExchange;
+	private readonly placementAnnouncer: PlacementAnnouncer;
 	private readonly catchUp: StartupCatchUp;
 	private wasServing = false;
 
@@ -319,7 +321,9 @@
 				choosePeer: (excluded, regions) => this.choosePeer(excluded, regions),
 				self: settings.self,
 				recordPrompt: (target, prompt) => {
-					this.promptCacheSync.recordPlacement(target, prompt, performance.now());
+					const nowMs = performance.now();
+					this.placementAnnouncer.announce(target, prompt, nowMs);
+					this.promptCacheSync.recordPlacement(target, prompt, nowMs);
 				},
 				findStreamOrigin: (attemptId, service) => this.streamOriginSync.find(attemptId, service),
 				recordStreamOrigin: (attemptId, origin) => {
@@ -397,6 +401,20 @@
 			countPeers: () => this.membership.peers.listAll().length,
 			computeGossipInterval: (peers) => this.membership.computePeerInterval(peers),
 		});
+		this.placementAnnouncer = new PlacementAnnouncer({
+			targets: this.targets,
+			broadcast: (message) => {
+				this.metrics.countDecision('placementAnnounced');
+				for (const { instance, acceptsPlacements } of this.membership.peers.listAll()) {
+					if (acceptsPlacements === true) {
+						this.membership.sendMessage(encodePeerMessage(message), instance.controlAddress);
+					}
+				}
+			},
+			adoptPrompt: (message) => {
+				this.promptCacheSync.adoptPrompts([message]);
+			},
+		});
 		this.peerExchange = new PeerExchange({
 			store,
 			activeConfiguration: this.activeConfiguration,
@@ -588,6 +606,9 @@
 			case 'unreachable':
 				this.coldTargetSync.adoptUnreachable(message, controlAddress, performance.now());
 				return;
+			case 'placement':
+				this.placementAnnouncer.adopt(message, performance.now());
+				return;
 			case 'origins':
 			case 'query':
 			case 'reply':
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -61,6 +61,7 @@
 		typeof state.targetsRevision === 'number' &&
 		(state.storeEra === undefined || Number.isSafeInteger(state.storeEra)) &&
 		(state.sentAtMs === undefined || Number.isSafeInteger(state.sentAtMs)) &&
+		(state.acceptsPlacements === undefined || typeof state.acceptsPlacements === 'boolean') &&
 		(state.relaysStates === undefined || typeof state.relaysStates === 'boolean') &&
 		(state.hasTargetPath === undefined || typeof state.hasTargetPath === 'boolean') &&
 		(state.sendsHeartbeats === undefined || typeof state.sendsHeartbeats === 'boolean') &&
--- a/packages/gateway/test/common/peerMessage.test.ts
+++ b/packages/gateway/test/common/peerMessage.test.ts
@@ -12,6 +12,7 @@
 		{ kind: 'heartbeat', name: 'a', incarnation: '1', isServing: true },
 		{ kind: 'cold', target: 'i-1', startedAtMs: 7, leftMs: 2500 },
 		{ kind: 'unreachable', target: 'i-1', startedAtMs: 7 },
+		{ kind: 'placement', target: 'i-1', startedAtMs: 7, prefillTokens: 8620, links: [1, 2500, 2, 6120] },
 		{ kind: 'reply', query: 3, origin: ['a', 'engines', 'v1', 5], opinion: { kind: 'several' } },
 	];
 
@@ -36,6 +37,8 @@
 		'{"kind":"cold","target":"i-1","startedAtMs":1,"leftMs":-1}',
 		'{"kind":"cold","target":"i-1","startedAtMs":1}',
 		'{"kind":"unreachable","target":1,"startedAtMs":1}',
+		'{"kind":"placement","target":"i-1","startedAtMs":1,"prefillTokens":-1,"links":[]}',
+		'{"kind":"placement","target":"i-1","startedAtMs":1,"prefillTokens":1,"links":[1,"2"]}',
 		'{"kind":"other"}',
 	]) {
 		it(`are rejected if they are malformed: ${text}`, () => {
--- a/packages/gateway/test/model/fleetModel.ts
+++ b/packages/gateway/test/model/fleetModel.ts
@@ -10,6 +10,7 @@
 import { GOSSIP_FAN_OUT, GOSSIP_INTERVAL_MS } from '../../src/common/gossipInterval.js';
 import type { TargetLoad } from '../../src/common/peerState.js';
 import { buildPromptChain, countTokens } from '../../src/common/promptChain.js';
+import { PlacementAnnouncer } from '../../src/common/placementAnnouncer.js';
 import type { Placement } from '../../src/common/targetTable.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import { PromptCacheSync } from '../../src/node/promptCacheSync.js';
@@ -35,6 +36,15 @@
 	/** Availability zones of instances and engines; one by default. */
 	readonly zones?: number;
 	readonly savesZoneTraffic?: boolean;
+	/** Whether engines report how slow they are. */
+	readonly usesLoadReports?: boolean;
+	/** Whether announcements of placements arrive. */
+	readonly losesAnnouncements?: boolean;
+	/** Whether engines fetch cached prompts from one another; true by default. */
+	readonly hasCacheTransfer?: boolean;
+	readonly objectiveMs?: number;
+	/** Step of the model's time; shorter than the time in which a datagram arrives, if that matters. */
+	readonly tickMs?: number;
 }
 
 export interface FleetModelResult {
@@ -52,11 +62,11 @@
 	readonly crossZoneShare: number;
 	/** Longest time for which an engine had prompts to prefill, in ms. */
 	readonly longestPrefillMs: number;
-	/** The same if all prefills were spread evenly over the engines. */
-	readonly evenPrefillMs: number;
 }
 
-const TICK_MS = 100;
+const DEFAULT_TICK_MS = 100;
+/** Interval at which the instances apply the loads of their peers. */
+const LOADS_INTERVAL_MS = 100;
 /** Tokens of the part that only one request has. */
 const OWN_TOKENS = 400;
 const MIN_DECODE_MS = 200;
@@ -68,6 +78,7 @@
 	readonly zone: string;
 	readonly table: TargetTable;
 	readonly prompts: PromptCacheSync;
+	readonly announcer: PlacementAnnouncer;
 	readonly peerLoads: Map<number, readonly TargetLoad[]>;
 	nextRecipient: number;
 }
@@ -85,6 +96,7 @@
 	private readonly readKeys = new Set<string>();
 	/** Pending work by the tick in which it is due. */
 	private readonly agenda = new Map<number, (() => void)[]>();
+	private readonly tickMs: number;
 	private nowMs = 0;
 	private requests = 0;
 	private running = 0;
@@ -98,6 +110,7 @@
 
 	constructor(private readonly options: FleetModelOptions) {
 		const { engines, instances, memoryTokens, requestsPerSecond, seed, slots } = options;
+		this.tickMs = options.tickMs ?? DEFAULT_TICK_MS;
 		this.random = xoroshiro128plus(seed);
 		const { sharedPrefixes, prefillTokensPerMs, zones = 1 } = options;
 		this.source =
@@ -112,7 +125,12 @@
 			const zone = `z${index % zones}`;
 			const table = new TargetTable(zone, undefined, options.savesZoneTraffic);
 			table.applyChange({ added: records, changed: [], removed: [] });
-			return { zone, table, prompts: this.makePrompts(table), peerLoads: new Map(), nextRecipient: 0 };
+			for (const target of table.all) {
+				target.statedLoad.service.isInUse = options.usesLoadReports ?? false;
+			}
+			const prompts = this.makePrompts(table);
+			const announcer = this.makeAnnouncer(table, prompts);
+			return { zone, table, prompts, announcer, peerLoads: new Map(), nextRecipient: 0 };
 		});
 	}
 
@@ -124,23 +142,24 @@
 			});
 		}
 		let due = 0;
-		for (let tick = 0; tick * TICK_MS < durationMs; tick++) {
-			this.nowMs = tick * TICK_MS;
+		for (let tick = 0; tick * this.tickMs < durationMs; tick++) {
+			this.nowMs = tick * this.tickMs;
 			for (const work of this.agenda.get(tick) ?? []) {
 				work();
 			}
 			this.agenda.delete(tick);
-			for (const { table, peerLoads } of this.instances) {
-				table.setPeerLoads([...peerLoads.values()]);
+			if (this.nowMs % LOADS_INTERVAL_MS === 0) {
+				for (const { table, peerLoads } of this.instances) {
+					table.setPeerLoads([...peerLoads.values()]);
+				}
 			}
-			for (due += (requestsPerSecond * TICK_MS) / 1000; due >= 1; due--) {
+			for (due += (requestsPerSecond * this.tickMs) / 1000; due >= 1; due--) {
 				this.serve();
 			}
 			this.observeLoads();
 		}
 		const { readTokens, rootsReadAgain, chatsReadAgain, highestLoadShare } = this;
 		const lateShare = this.lateRequests / this.requests;
-		const tokensPerMs = this.options.prefillTokensPerMs ?? Infinity;
 		return {
 			readTokens,
 			rootsReadAgain,
@@ -149,7 +168,6 @@
 			lateShare,
 			crossZoneShare: this.crossZoneRequests / this.requests,
 			longestPrefillMs: this.longestPrefillMs,
-			evenPrefillMs: readTokens / this.engines.size / tokensPerMs,
 		};
 	}
 
@@ -167,6 +185,23 @@
 		});
 	}
 
+	private makeAnnouncer(table: TargetTable, prompts: PromptCacheSync): PlacementAnnouncer {
+		return new PlacementAnnouncer({
+			targets: table,
+			broadcast: (message) => {
+				const others = this.instances.filter((other) => other.table !== table);
+				for (const { announcer } of this.options.losesAnnouncements === true ? [] : others) {
+					this.schedule(NETWORK_MS, () => {
+						announcer.adopt(message, this.nowMs);
+					});
+				}
+			},
+			adoptPrompt: (message) => {
+				prompts.adoptPrompts([message]);
+			},
+		});
+	}
+
 	/** Lets one instance place the next request, and its engine read and answer it. */
 	private serve(): void {
 		const parts = [...this.source.next(), { id: `f${this.requests}`, tokens: OWN_TOKENS }];
@@ -182,10 +217,11 @@
 		engine.running += 1;
 		target.recordRequestSent(this.nowMs, this.options.durationMs);
 		target.ownPrefillTokens += prefillTokens;
+		instance.announcer.announce(target, prompt, this.nowMs);
 		instance.prompts.recordPlacement(target, prompt, this.nowMs);
 		const firstTokenMs = engine.schedulePrefill(unreadTokens, this.nowMs) - this.nowMs;
 		this.longestPrefillMs = Math.max(this.longestPrefillMs, firstTokenMs);
-		this.lateRequests += firstTokenMs > OBJECTIVE_MS ? 1 : 0;
+		this.lateRequests += firstTokenMs > (this.options.objectiveMs ?? OBJECTIVE_MS) ? 1 : 0;
 		this.crossZoneRequests += target.record.zone === instance.zone ? 0 : 1;
 		this.schedule(firstTokenMs, () => {
 			target.ownPrefillTokens -= prefillTokens;
@@ -203,8 +239,8 @@
 			{
 				service: 'engines',
 				prompt,
-				objectiveMs: OBJECTIVE_MS,
-				hasCacheTransfer: true,
+				objectiveMs: this.options.objectiveMs ?? OBJECTIVE_MS,
+				hasCacheTransfer: this.options.hasCacheTransfer ?? true,
 				excluded: new Set(),
 				allowed: undefined,
 				version: undefined,
@@ -273,7 +309,7 @@
 	}
 
 	private schedule(delayMs: number, work: () => void): void {
-		const tick = Math.floor(this.nowMs / TICK_MS) + Math.max(1, Math.round(delayMs / TICK_MS));
+		const tick = Math.floor(this.nowMs / this.tickMs) + Math.max(1, Math.round(delayMs / this.tickMs));
 		const works = this.agenda.get(tick) ?? [];
 		works.push(work);
 		this.agenda.set(tick, works);
