--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -82,13 +82,21 @@
 
 	private readonly prefixUses = new PrefixUses();
 
-	/** @param savesZoneTraffic whether prompts are placed in the own zone where callers lose nothing by it */
+	/** @param savesZoneTrafficAlways whether `savesZoneTraffic` holds in any case */
 	constructor(
 		private readonly ownZone: string,
 		private readonly findRegion: RegionLookup = () => undefined,
-		private readonly savesZoneTraffic = false,
+		private readonly savesZoneTrafficAlways = false,
 	) {}
 
+	/**
+	 * Whether to save bytes between availability zones. Where targets report how long work takes, these reports are gossiped
+	 * as well, and they must be young, so that direct gossip would cost most.
+	 */
+	public get savesZoneTraffic(): boolean {
+		return this.savesZoneTrafficAlways || [...this.serviceLoads.values()].some(({ isInUse }) => isInUse);
+	}
+
 	public get all(): Iterable<TargetState> {
 		return this.states.values();
 	}
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -41,7 +41,7 @@
 	/** Control addresses that are contacted first. */
 	readonly seeds: readonly string[];
 	/** Whether states go to other availability zones through relays, since bytes between zones are expensive. */
-	readonly usesZoneRelays: boolean;
+	readonly usesZoneRelays: () => boolean;
 	readonly store: MetadataStore;
 	readonly log: EventLog;
 	/** Returns the state to advertise now, without the addresses of peers. */
@@ -155,7 +155,7 @@
 
 	/** Returns the time between two states of the same peer in ms. */
 	public computePeerInterval(peers: number): number {
-		return this.parts.usesZoneRelays ? computeRelayedInterval(peers) : computePeerInterval(peers);
+		return this.parts.usesZoneRelays() ? computeRelayedInterval(peers) : computePeerInterval(peers);
 	}
 
 	/** Returns the mean age of the states of the peers in ms. */
@@ -244,7 +244,7 @@
 
 	/** Returns undefined if the state goes to all peers directly, as in the first rounds of an instance that starts. */
 	private planRelays(nowMs: number, relays: number): GossipPlan | undefined {
-		if (!this.parts.usesZoneRelays || this.rounds < INITIAL_ADDRESS_GOSSIP_ROUNDS) {
+		if (!this.parts.usesZoneRelays() || this.rounds < INITIAL_ADDRESS_GOSSIP_ROUNDS) {
 			return undefined;
 		}
 		const peers = this.peers.listWithAges(nowMs).map(({ state, ageMs }) => ({
@@ -289,7 +289,7 @@
 			acceptsCompressed: true,
 			...(countHeartbeatGroups(this.peers.listAll().length) > 0 ? { sendsHeartbeats: true } : {}),
 			acceptsPlacements: true,
-			...(this.parts.usesZoneRelays ? { relaysStates: true, sentAtMs: this.nextSendTime() } : {}),
+			...(this.parts.usesZoneRelays() ? { relaysStates: true, sentAtMs: this.nextSendTime() } : {}),
 			instance: this.parts.self,
 			known: sampleAddresses(known, MAX_GOSSIPED_ADDRESSES, Math.random()),
 		};
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -66,7 +66,10 @@
 	readonly hasEvacuations?: boolean;
 	/** Bounds for cold targets; undefined if no target is treated as cold. */
 	readonly coldTargets?: ColdTargetBounds | undefined;
-	/** Whether to save bytes between availability zones: by relays of gossip, and by the choice of targets. */
+	/**
+	 * Whether to save bytes between availability zones, by relays of gossip and by the choice of targets, also where targets
+	 * do not report how long work takes.
+	 */
 	readonly savesZoneTraffic?: boolean;
 	/** Longest time for which callers cache a directory entry that names this instance, in ms. */
 	readonly entryTtlMs: number;
@@ -335,7 +338,7 @@
 		this.membership = new FleetMembership({
 			self: settings.self,
 			seeds: settings.seeds,
-			usesZoneRelays: settings.savesZoneTraffic ?? false,
+			usesZoneRelays: () => this.targets.savesZoneTraffic,
 			store,
 			log,
 			describeSelf: () => this.peerExchange.describeSelf(),
--- a/packages/gateway/test/node/fleetMembership.test.ts
+++ b/packages/gateway/test/node/fleetMembership.test.ts
@@ -33,7 +33,7 @@
 	const membership = new FleetMembership({
 		self: { ...instance, zone, controlAddress },
 		seeds: addresses,
-		usesZoneRelays,
+		usesZoneRelays: () => usesZoneRelays,
 		store: {
 			renewRegistration: () => Promise.resolve(),
 			listInstances: () => Promise.resolve([]),
