Pass on to peers what entries state of cold targets

Cause: only the instance that reads the store saw that a listed target is warm. Change: the list that peers fetch carries what its entries state, with the time since the read.

--- a/packages/gateway/src/node/coldTargetSync.ts
+++ b/packages/gateway/src/node/coldTargetSync.ts
@@ -111,8 +111,11 @@
 		this.updateShares();
 	}
 
-	/** Applies what the entries of targets state of the remaining time in which they are cold, as read from the store. */
-	public applyListed(entries: readonly ListedColdness[], nowMs: number): void {
+	/**
+	 * Applies what the entries of targets state of the remaining time in which they are cold.
+	 * @param ageMs time since the entries were read from the store, by this instance or by a peer
+	 */
+	public applyListed(entries: readonly ListedColdness[], nowMs: number, ageMs = 0): void {
 		for (const { id, startedAtMs, leftMs, revision } of entries) {
 			const target = this.parts.targets.find(id);
 			const mark = `${startedAtMs}/${revision}/${leftMs}`;
@@ -123,9 +126,10 @@
 			}
 			this.appliedEntries.set(id, mark);
 			const wasCold = target.coldness.computeRemaining(nowMs) > 0;
-			target.coldness.recordListed(leftMs, nowMs);
-			if (leftMs > 0 && !wasCold) {
-				this.announceCold(target, leftMs);
+			const remainingMs = Math.max(0, leftMs - ageMs);
+			target.coldness.recordListed(remainingMs, nowMs);
+			if (remainingMs > 0 && !wasCold) {
+				this.announceCold(target, remainingMs);
 			}
 		}
 	}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -384,8 +384,8 @@
 			onDidChange: (change, source) => {
 				this.handleTargetChange(change, source);
 			},
-			onColdnessListed: (coldness) => {
-				this.coldTargetSync.applyListed(coldness, performance.now());
+			onColdnessListed: (coldness, ageMs) => {
+				this.coldTargetSync.applyListed(coldness, performance.now(), ageMs);
 			},
 			fetchFromPeer: (address) => this.membership.fetch(address, '/targets'),
 		});
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -77,11 +77,13 @@
 
 	/** Encodes the list of targets for a peer; undefined before the first list. */
 	public encodeTargets(): string | undefined {
-		const { view } = this.parts;
+		const { targetListSync, view } = this.parts;
 		const { list } = view;
+		const nowMs = performance.now();
+		const coldness = targetListSync.describeColdness(nowMs);
 		return list === undefined
 			? undefined
-			: encodeTargetList({ list, ageMs: Math.round(view.computeAge(performance.now())) });
+			: encodeTargetList({ list, ageMs: Math.round(view.computeAge(nowMs)), coldness });
 	}
 
 	public handlePeerState(state: PeerState): void {
--- a/packages/gateway/src/node/targetListSync.ts
+++ b/packages/gateway/src/node/targetListSync.ts
@@ -9,6 +9,7 @@
 import { describeError, StoreError } from '../common/metadataStore.js';
 import { comparePositions } from '../common/storePosition.js';
 import type { StorePosition } from '../common/storePosition.js';
+import type { ReadColdness } from '../common/targetListDocument.js';
 import { decodeTargetList } from '../common/targetListDocument.js';
 import type { TargetRecord } from '../common/targetRecord.js';
 import type {
@@ -47,8 +48,11 @@
 	readonly log: EventLog;
 	readonly readOwnRank: () => number;
 	readonly onDidChange: (change: TargetListChange, source: TargetChangeSource) => void;
-	/** Called after a list from the store was applied, with what its entries state of cold targets. */
-	readonly onColdnessListed: (coldness: readonly ListedColdness[]) => void;
+	/**
+	 * Called after a list was applied, with what its entries state of cold targets.
+	 * @param ageMs time since the entries were read from the store
+	 */
+	readonly onColdnessListed: (coldness: readonly ListedColdness[], ageMs: number) => void;
 	/** Fetches the target list of a peer; undefined if the peer does not answer. */
 	readonly fetchFromPeer: (controlAddress: string) => Promise<string | undefined>;
 }
@@ -60,6 +64,8 @@
 	private backoffMs = 0;
 	private backoffUntilMs = 0;
 	private isStoreUnreachable = false;
+	/** What the entries of the newest list state of cold targets, as this instance or a peer read them. */
+	private readColdness: { readonly entries: readonly ListedColdness[]; readonly readAtMs: number } | undefined;
 
 	constructor(private readonly parts: TargetListSyncParts) {}
 
@@ -124,6 +130,14 @@
 		this.publishChange(this.parts.view.recordLeaving([id, startedAtMs], performance.now()), 'response');
 	}
 
+	/** Describes what the entries state of cold targets, for a peer that fetches the list. */
+	public describeColdness(nowMs: number): ReadColdness | undefined {
+		const { readColdness } = this;
+		return readColdness === undefined
+			? undefined
+			: { entries: readColdness.entries, ageMs: Math.round(nowMs - readColdness.readAtMs) };
+	}
+
 	public dispose(): void {
 		this.abortController.abort();
 	}
@@ -139,6 +153,9 @@
 			return;
 		}
 		this.apply(fetched.list, 'peer', performance.now() - fetched.ageMs);
+		if (fetched.coldness !== undefined) {
+			this.applyColdness(fetched.coldness.entries, performance.now() - fetched.coldness.ageMs);
+		}
 	}
 
 	private async read(): Promise<void> {
@@ -149,7 +166,7 @@
 			this.backoffMs = 0;
 			this.updateStoreStatus(undefined);
 			this.apply(list, 'store', startedAtMs);
-			this.parts.onColdnessListed(coldness ?? []);
+			this.applyColdness(coldness ?? [], startedAtMs);
 		} catch (error) {
 			if (error instanceof StoreError && error.kind === 'restored') {
 				// The store answers; the next tick reads the list of the new era.
@@ -162,6 +179,13 @@
 		}
 	}
 
+	private applyColdness(entries: readonly ListedColdness[], readAtMs: number): void {
+		if (entries.length > 0 && readAtMs > (this.readColdness?.readAtMs ?? -Infinity)) {
+			this.readColdness = { entries, readAtMs };
+			this.parts.onColdnessListed(entries, performance.now() - readAtMs);
+		}
+	}
+
 	private apply(list: ListedTargets, source: ListSource, confirmedAtMs: number): void {
 		this.publishChange(this.parts.view.apply(list, source, confirmedAtMs, performance.now()), source);
 	}
--- a/packages/gateway/test/common/targetListDocument.test.ts
+++ b/packages/gateway/test/common/targetListDocument.test.ts
@@ -7,7 +7,10 @@
 
 	it('is equal after encoding and decoding', () => {
 		const original = { list: { era: 2, revision: 7, targets }, ageMs: 120 };
-		expect(decodeTargetList(encodeTargetList(original))).to.deep.equal(original);
+		const coldness = { entries: [{ id: 'a', startedAtMs: 1, leftMs: 900, revision: 6 }], ageMs: 80 };
+		for (const document of [original, { ...original, coldness }]) {
+			expect(decodeTargetList(encodeTargetList(document))).to.deep.equal(document);
+		}
 	});
 
 	it('is not decoded when any part of it is invalid', () => {
@@ -21,6 +24,11 @@
 			JSON.stringify({ ageMs: 1, list: { era: 2, revision: 7, targets: [withoutZone] } }),
 			JSON.stringify({ ageMs: '1', list: { era: 2, revision: 7, targets } }),
 			JSON.stringify({ ageMs: 1, list: { revision: 7, targets } }),
+			JSON.stringify({
+				ageMs: 1,
+				list: { era: 2, revision: 7, targets },
+				coldness: { entries: [{}], ageMs: 1 },
+			}),
 		]) {
 			expect(decodeTargetList(text), text).to.equal(undefined);
 		}
--- a/packages/gateway/test/node/coldTargetSync.test.ts
+++ b/packages/gateway/test/node/coldTargetSync.test.ts
@@ -117,6 +117,15 @@
 		expect(readRemaining('x', 1600)).to.equal(2000);
 	});
 
+	it('entries that a peer has read end the assumption that targets listed again after an outage are cold', () => {
+		const sync = createSync({ isFirstStart: true });
+		list(sync, ['x'], 0);
+		list(sync, ['y', 'z'], 1000);
+		const entry = { id: 'y', startedAtMs: 1, leftMs: 0, revision: 2 };
+		sync.applyListed([entry, { ...entry, id: 'z', leftMs: 2500 }], 1000, 400);
+		expect([readRemaining('y', 1000), readRemaining('z', 1000)]).to.deep.equal([0, 2100]);
+	});
+
 	it('tells all instances once when a target states that it has turned cold', () => {
 		const sync = createSync({ isFirstStart: true });
 		list(sync, ['x'], 0);
