--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -29,8 +29,9 @@
 const LONG_PROMPT_MARGIN_SHARE = 0.4;
 
 /**
- * An engine with more of the prompt cached is passed over if another one has its first event this much sooner at its own
- * speed. A prefix is then prefilled, and takes memory, a second time.
+ * An engine with more of the prompt cached is passed over if another one is faster at this moment by this factor, and has
+ * the first event sooner by it. A prefix is then prefilled, and takes memory, a second time. Without the first condition,
+ * for the sake of a shorter queue alone, more shared tokens are prefilled again and more prompts are late.
  */
 const FASTER_ELSEWHERE_RATIO = 1.25;
 
@@ -91,6 +92,7 @@
 	readonly cachedTokens: number;
 	/** Requests on the engine, more if it is slower than the others. */
 	readonly load: number;
+	readonly slowdown: number;
 	readonly isWithinLoadLimit: boolean;
 	/** Whether the engine is within the load limit of a prompt that it has cached. */
 	readonly isWithinCachedLoadLimit: boolean;
@@ -197,7 +199,11 @@
  */
 function listFaster(candidates: readonly Candidate[], cached: Candidate): readonly Candidate[] {
 	return cached.target.statedLoad.isInUse
-		? candidates.filter(({ prefillTokens }) => FASTER_ELSEWHERE_RATIO * prefillTokens < cached.prefillTokens)
+		? candidates.filter(
+				({ prefillTokens, slowdown }) =>
+					FASTER_ELSEWHERE_RATIO * slowdown < cached.slowdown &&
+					FASTER_ELSEWHERE_RATIO * prefillTokens < cached.prefillTokens,
+			)
 		: [];
 }
 
@@ -300,6 +306,7 @@
 		target,
 		cachedTokens,
 		load,
+		slowdown,
 		isWithinLoadLimit: load + 1 <= Math.min(slots, loadFactor * meanLoad + loadSlack),
 		isWithinCachedLoadLimit: load + 1 <= Math.min(slots, MAX_LOAD_FACTOR * meanLoad + MAX_LOAD_SLACK),
 		prefillTokens,
