Rank only engines within the objective for long uncached prefixes

An engine beyond the limit of the objective could be chosen if all six engines that the hash ranks first were beyond it. Also forgets the zone of an address when its peer is lost.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -152,7 +152,7 @@
 	const faster = listFaster(withinObjective, cached);
 	const best =
 		cached.target.statedLoad.isInUse && missingTokens >= MIN_QUEUED_TOKENS
-			? chooseByPrefillQueue(withinLoadLimit, chain)
+			? chooseByPrefillQueue(withinObjective, chain)
 			: missingTokens > 0
 				? chooseUncached(candidates, withinObjective, prefillLimit, chain)
 				: faster.length === 0
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -129,6 +129,7 @@
 	/** Called periodically: sends gossip, renews the registration and discovers other instances. */
 	public tick(nowMs: number): void {
 		for (const state of this.peers.expire(nowMs)) {
+			this.zonesByAddress.delete(state.instance.controlAddress);
 			this.parts.log.write('state', 'peerLost', { peer: state.instance.name });
 		}
 		if (nowMs >= this.nextRoundMs) {
