--- a/packages/gateway/test/model/capacityFleet.ts
+++ b/packages/gateway/test/model/capacityFleet.ts
@@ -24,6 +24,8 @@
 	readonly durationMs: number;
 	/** Share of the gossip messages that is lost. */
 	readonly lossShare?: number;
+	/** Time at which half of the instances restart without any memory; callers that wait there are lost. */
+	readonly restartAtMs?: number;
 	/** Instances that hear nobody. */
 	readonly isolated?: number;
 	readonly objectiveMs?: number;
@@ -66,7 +68,7 @@
 	public readonly occupancy: number[] = [];
 	/** Requests that isolated instances had on the targets at once. */
 	public highestIsolated = 0;
-	private readonly instances: readonly Instance[];
+	private readonly instances: Instance[];
 	private readonly agenda = new Map<number, (() => void)[]>();
 	private readonly targetQueue: Call[] = [];
 	private readonly random: () => number;
@@ -80,9 +82,9 @@
 		for (const stream of options.streams) {
 			this.tallies.set(stream, { offered: 0, served: 0, refusals: 0, waited: 0 });
 		}
-		for (const [index, instance] of this.instances.entries()) {
+		for (const index of this.instances.keys()) {
 			this.schedule(this.random() * GOSSIP_INTERVAL_MS, () => {
-				this.sendGossip(instance, index);
+				this.sendGossip(index);
 			});
 		}
 	}
@@ -93,6 +95,9 @@
 				work();
 			}
 			this.agenda.delete(this.nowMs);
+			if (this.nowMs === this.options.restartAtMs) {
+				this.restartHalf();
+			}
 			if (this.nowMs < this.options.durationMs - FINISH_MS) {
 				for (const stream of this.options.streams) {
 					this.offerArrivals(stream);
@@ -149,6 +154,15 @@
 		return instance;
 	}
 
+	private restartHalf(): void {
+		for (let index = 0; index < this.instances.length / 2; index++) {
+			this.instances[index] = this.makeInstance();
+			this.schedule(GOSSIP_INTERVAL_MS * this.random(), () => {
+				this.sendGossip(index);
+			});
+		}
+	}
+
 	private offerArrivals(stream: Stream): void {
 		const { requestsPerSecond, surge } = stream;
 		const isSurge = surge !== undefined && this.nowMs >= surge.fromMs && this.nowMs < surge.untilMs;
@@ -243,7 +257,11 @@
 		this.serveWaiting(instance);
 	}
 
-	private sendGossip(instance: Instance, index: number): void {
+	private sendGossip(index: number, sender = this.instances[index]): void {
+		const instance = this.instances[index];
+		if (instance === undefined || instance !== sender) {
+			return;
+		}
 		const { isolated = 0, lossShare = 0, instances } = this.options;
 		const recipients = Math.min(instances - 1, GOSSIP_FAN_OUT);
 		for (let step = 0; step < recipients; step++) {
@@ -258,7 +276,7 @@
 		instance.admission.setReports(reports.filter((report) => report !== undefined));
 		this.highestIsolated = Math.max(this.highestIsolated, index < isolated ? instance.own : 0);
 		this.schedule(GOSSIP_INTERVAL_MS, () => {
-			this.sendGossip(instance, index);
+			this.sendGossip(index, instance);
 		});
 	}
 
--- a/packages/gateway/test/model/capacitySharing.test.ts
+++ b/packages/gateway/test/model/capacitySharing.test.ts
@@ -92,6 +92,13 @@
 		expect(served[1]).to.be.at.least(0.95 * (served[2] ?? 0));
 	});
 
+	// Guards against instances that, without memory of a surge, send as if the service had room.
+	it('goes on sharing when half of the instances restart in the middle of a surge', () => {
+		const fleet = run({ instances: 77, streams: makeCustomers(0.6, 7), restartAtMs: 6000 });
+		expect(fleet.sum(({ customer }) => customer !== 'c0').servedShare).to.be.at.least(0.97);
+		expect(Math.min(...fleet.occupancy.slice(STEADY.from, STEADY.until))).to.be.at.least(0.95);
+	});
+
 	it('keeps to its part of the capacity at an instance that hears nobody', () => {
 		const fleet = run({ instances: 8, isolated: 1, streams: makeRoutes(1.6, 1) });
 		expect(fleet.highestIsolated).to.be.within(1, (1.2 * SLOTS) / 8);
