Keep room for callers that return after a refusal, also by customers above their share

Cause: only customers within their share left room for callers that return, so while all customers ask for much nearly nothing was kept; and returns within 280 ms were not recognised by their deadline. Change: customers above their share leave a part of what the targets run to their callers that return; a caller counts as returning if its deadline is 30 ms closer than the longest of its route.

--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -233,7 +233,7 @@
 
 	/**
 	 * Returns how many requests of this instance there may be if one of this customer is sent. A customer above its share
-	 * uses what the targets run at once, the others a short queue at the targets too, of which a part is kept for callers
+	 * uses what the targets run at once, the others a short queue at the targets too. Of both a part is kept for callers
 	 * that return.
 	 */
 	private computeLimit(customer: string, isReturning: boolean, load: ServiceCapacity): number {
@@ -241,7 +241,8 @@
 		if (this.shares.computeCapacityShare(customer, 1) < 1) {
 			const isFull = this.ownRequests + load.otherRequests >= concurrency;
 			const part = this.computeAllowance(concurrency, load);
-			return isFull ? part + this.readTurn() : Math.max(1, part);
+			const kept = isReturning ? 0 : this.countKept(part);
+			return isFull ? part + this.readTurn() - kept : Math.max(1, part);
 		}
 		const capacity = concurrency * (1 + this.computeTargetQueue());
 		// With more instances than slots each may still send one: the targets queue a few.
@@ -249,8 +250,12 @@
 		if (isReturning) {
 			return limit;
 		}
-		const due = Math.min(this.returns.countDue(this.nowMs), RETURN_SHARE * limit);
-		return Math.max(1, this.computeAllowance(concurrency, load), limit - due);
+		return Math.max(1, this.computeAllowance(concurrency, load), limit - this.countKept(limit));
+	}
+
+	/** Counts the requests for which room is kept because their callers are expected to return now. */
+	private countKept(limit: number): number {
+		return Math.min(this.returns.countDue(this.nowMs), RETURN_SHARE * limit);
 	}
 
 	private computeAllowance(capacity: number, load: ServiceCapacity): number {
--- a/packages/gateway/src/common/serviceTimes.ts
+++ b/packages/gateway/src/common/serviceTimes.ts
@@ -8,8 +8,11 @@
 const DEFAULT_SERVICE_MS = 1000;
 /** What is known of the longest deadline is given up slowly, for routes whose deadline is shortened. */
 const DEADLINE_RETENTION = 0.9995;
-/** A request with less of the longest deadline left has probably spent the rest on an earlier attempt. */
-const RETURNING_DEADLINE_SHARE = 0.93;
+/**
+ * A request with so much less than the longest deadline left has probably spent the rest on an earlier attempt: more than
+ * callers need to connect, and less than the shortest time after which refused ones return.
+ */
+const RETURNING_MARGIN_MS = 30;
 
 interface RouteTimes {
 	objectiveMs: number;
@@ -49,7 +52,7 @@
 		this.routes.set(route, times);
 		times.objectiveMs = objectiveMs;
 		times.longestDeadlineMs = Math.max(DEADLINE_RETENTION * times.longestDeadlineMs, deadlineMs);
-		return deadlineMs < RETURNING_DEADLINE_SHARE * times.longestDeadlineMs;
+		return deadlineMs < times.longestDeadlineMs - RETURNING_MARGIN_MS;
 	}
 
 	/**
