Copy no prompts for the sake of a zone

Cause: a copy of a hot prefix in each zone is fetched from another engine at 18,432 bytes a token, against 10 kB of a request that stays in its zone. Change: an engine of the own zone is preferred only if it has as much of the prefix cached; the count of uses is gone.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -44,12 +44,6 @@
 const ROOT_ENGINE_SHARE = 0.34;
 const MIN_ROOT_ENGINES = 2;
 
-/**
- * Prompt tokens that may be prefilled again in the own zone for each use of a prefix by this instance; the other
- * instances of the zone use the copy as well. At 32 instances a third of the requests then cross zones in place of two
- * thirds, for 3 in 100 more prefilled tokens (model test of zone preference).
- */
-const COPIED_TOKENS_PER_USE = 4500;
 /** Requests by which an engine of the own zone may be busier than the one that is chosen otherwise, of about 64 slots. */
 const ZONE_LOAD_MARGIN = 2;
 /** Prompt tokens by which its prefill queue may be longer: about 20 ms. */
@@ -62,19 +56,12 @@
 /** Tokens by which the prefill queue of the first of them may exceed the shortest. */
 const QUEUE_MARGIN_TOKENS = 1000;
 
-/** Preference for the engines of this instance's zone, so that requests and answers do not cross zones. */
-export interface ZonePreference {
-	readonly ownZone: string;
-	/** How often this instance has placed the shared prefix, with this request. */
-	readonly prefixUses: number;
-}
-
 export interface CacheRequest {
 	readonly prompt: PromptChain;
 	/** Latency objective: time to the first event, in ms. */
 	readonly objectiveMs: number;
-	/** Undefined if all zones are alike. */
-	readonly zonePreference?: ZonePreference | undefined;
+	/** Availability zone whose engines are preferred, so that requests and answers do not cross; undefined if all are alike. */
+	readonly preferredZone?: string | undefined;
 }
 
 export interface CacheChoice {
@@ -139,7 +126,7 @@
 
 function chooseCandidate(
 	candidates: readonly Candidate[],
-	{ prompt: chain, objectiveMs, zonePreference }: CacheRequest,
+	{ prompt: chain, objectiveMs, preferredZone }: CacheRequest,
 ): Omit<CacheChoice, 'cacheSource'> | undefined {
 	const withinLoadLimit = candidates.filter(({ isWithinLoadLimit }) => isWithinLoadLimit);
 	if (withinLoadLimit.length === 0) {
@@ -158,10 +145,9 @@
 				: faster.length === 0
 					? cached
 					: pickByPrefixHash(faster, candidates.length, chain);
-	const choice =
-		zonePreference === undefined
-			? best
-			: (chooseInZone(withinObjective, best, chain, zonePreference) ?? best);
+	// A prefix that is not cached yet goes to the engine that all zones choose, so that it is prefilled once.
+	const mayMove = preferredZone !== undefined && best.cachedTokens >= countSharedTokens(chain);
+	const choice = mayMove ? (findInZone(withinObjective, best, preferredZone) ?? best) : best;
 	return { ...choice, isOverflow: choice.cachedTokens < findMostCached(candidates).cachedTokens };
 }
 
@@ -223,35 +209,26 @@
 }
 
 /**
- * Chooses an engine of the own zone in place of `best` if callers lose nothing by it: one that has as much cached, or on
- * which a copy of the prefix is worth its prefill. A prefix that is used seldom is kept on one engine of all zones.
- * Returns undefined if there is no such engine.
+ * Finds an engine of a zone that can take the place of `best` without loss to the caller: it has as much of the prompt
+ * cached, and is hardly busier. A prefix is not copied for the sake of the zone: a token of a KV cache is larger than a
+ * whole request.
  */
-function chooseInZone(
+function findInZone(
 	withinObjective: readonly Candidate[],
 	best: Candidate,
-	chain: PromptChain,
-	{ ownZone, prefixUses }: ZonePreference,
+	zone: string,
 ): Candidate | undefined {
-	if (best.target.record.zone === ownZone) {
+	if (best.target.record.zone === zone) {
 		return best;
 	}
-	const inZone = withinObjective.filter(
-		({ target, load }) => target.record.zone === ownZone && load <= best.load + ZONE_LOAD_MARGIN,
+	const equal = withinObjective.filter(
+		({ target, cachedTokens, load, prefillTokens }) =>
+			target.record.zone === zone &&
+			cachedTokens >= best.cachedTokens &&
+			load <= best.load + ZONE_LOAD_MARGIN &&
+			prefillTokens <= best.prefillTokens + ZONE_PREFILL_MARGIN_TOKENS,
 	);
-	if (inZone.length === 0) {
-		return undefined;
-	}
-	const mostCached = findMostCached(inZone);
-	const sharedTokens = countSharedTokens(chain);
-	const choice =
-		mostCached.cachedTokens >= sharedTokens ? mostCached : pickByPrefixHash(inZone, inZone.length, chain);
-	const countCopied = ({ cachedTokens }: Candidate): number => Math.max(0, sharedTokens - cachedTokens);
-	const countWaiting = (candidate: Candidate): number => candidate.prefillTokens - countCopied(candidate);
-	return countCopied(choice) <= prefixUses * COPIED_TOKENS_PER_USE &&
-		countWaiting(choice) <= countWaiting(best) + ZONE_PREFILL_MARGIN_TOKENS
-		? choice
-		: undefined;
+	return equal.length === 0 ? undefined : findMostCached(equal);
 }
 
 /** Returns the candidate with the most cached tokens; among equals the one with the lowest load. */
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -1,9 +1,7 @@
 /** Holds the state of all known targets and chooses one for a request. */
-import type { ZonePreference } from './cacheAwarePlacement.js';
 import { chooseByCachedPrefix } from './cacheAwarePlacement.js';
 import type { RegionLookup } from './homeRegions.js';
 import { isZoneIn } from './homeRegions.js';
-import { PrefixUses } from './prefixUses.js';
 import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
 import { ServiceLoad } from './serviceLoad.js';
@@ -80,8 +78,6 @@
 	private pausedUntilMs = -Infinity;
 	private readonly serviceLoads = new Map<string, ServiceLoad>();
 
-	private readonly prefixUses = new PrefixUses();
-
 	/** @param savesZoneTrafficAlways whether `savesZoneTraffic` holds in any case */
 	constructor(
 		private readonly ownZone: string,
@@ -242,8 +238,8 @@
 		}
 		// Cached prompts can still be fetched from a leaving target.
 		const sources = request.hasCacheTransfer ? all.filter((target) => isReachable(target, nowMs)) : [];
-		const zonePreference = this.savesZoneTraffic ? this.buildZonePreference(request.prompt) : undefined;
-		const choice = chooseByCachedPrefix(candidates, { ...request, zonePreference }, sources, meanLoad, nowMs);
+		const preferredZone = this.savesZoneTraffic ? this.ownZone : undefined;
+		const choice = chooseByCachedPrefix(candidates, { ...request, preferredZone }, sources, meanLoad, nowMs);
 		if (choice === undefined) {
 			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
 		}
@@ -260,11 +256,6 @@
 		return load;
 	}
 
-	private buildZonePreference(prompt: PromptChain): ZonePreference {
-		const sharedPrefix = prompt.at(prompt.length > 1 ? -2 : -1);
-		return { ownZone: this.ownZone, prefixUses: this.prefixUses.record(sharedPrefix?.hash ?? 0) };
-	}
-
 	/** A target that starts is as brittle as the others of its service until it says something else. */
 	private findBrittleness(service: string): number | undefined {
 		const states = this.byService.get(service) ?? [];
