Mend what a review of gossip and cold caches found

Cause: found by a reviewer who did not write these parts. A fetch could cross zones although an engine of the own zone had as much. Late states made load reports look young, and gossiped reports of ended requests were one too high. Lost addresses got whole states each round. With 900 ms between states, three lost rounds hid a live instance. Change: each as named; a silent peer makes states go through two relays.

--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -36,7 +36,7 @@
 const FASTER_ELSEWHERE_RATIO = 1.25;
 
 /** Time to fetch cached tokens from another engine, relative to the time to prefill them. */
-const FETCH_TIME_RATIO = 0.3;
+export const FETCH_TIME_RATIO = 0.3;
 /** Fewest tokens for which a fetch is worth its set-up. */
 const MIN_FETCH_TOKENS = 200;
 
@@ -121,7 +121,14 @@
 		return undefined;
 	}
 	const isFetching = source !== undefined && countFetchedTokens(source, choice.cachedTokens) > 0;
-	return { ...choice, cacheSource: isFetching ? source.target : undefined };
+	if (!isFetching) {
+		return { ...choice, cacheSource: undefined };
+	}
+	const cacheSource =
+		request.preferredZone === undefined
+			? source.target
+			: findEqualSource(sources, source, request.prompt, choice.target.record.zone);
+	return { ...choice, cacheSource };
 }
 
 function chooseCandidate(
@@ -256,6 +263,20 @@
 	return best;
 }
 
+/** Finds a source that has as much cached in the zone of the engine that fetches, since a fetch moves most bytes of all. */
+function findEqualSource(
+	sources: readonly TargetState[],
+	best: CacheSource,
+	prompt: PromptChain,
+	zone: string,
+): TargetState {
+	const equal = sources.find(
+		({ record, prefixCache }) =>
+			record.zone === zone && prefixCache.countCachedTokens(prompt) >= best.cachedTokens,
+	);
+	return equal ?? best.target;
+}
+
 function countFetchedTokens(source: CacheSource | undefined, cachedTokens: number): number {
 	const tokens = (source?.cachedTokens ?? 0) - cachedTokens;
 	return tokens >= MIN_FETCH_TOKENS ? tokens : 0;
--- a/packages/gateway/src/common/placementAnnouncer.ts
+++ b/packages/gateway/src/common/placementAnnouncer.ts
@@ -6,7 +6,7 @@
 import type { PlacementMessage } from './peerMessage.js';
 import type { PromptChain } from './promptChain.js';
 import { countTokens, listSharedLinks } from './promptChain.js';
-import { MIN_QUEUED_TOKENS } from './cacheAwarePlacement.js';
+import { FETCH_TIME_RATIO, MIN_QUEUED_TOKENS } from './cacheAwarePlacement.js';
 import type { TargetState } from './targetState.js';
 import type { TargetTable } from './targetTable.js';
 
@@ -27,21 +27,30 @@
 
 	constructor(private readonly parts: PlacementAnnouncerParts) {}
 
-	/** Announces that a prompt is being sent to a target, if much of its shared part is not cached there. */
+	/**
+	 * Announces that a prompt is being sent to a target, if much of its shared part is not cached there.
+	 * @param cacheSource engine from which the target fetches what is cached there
+	 */
 	public announce(
 		{ record, prefixCache, statedLoad }: TargetState,
 		prompt: PromptChain,
+		cacheSource: TargetState | undefined,
 		nowMs: number,
 	): void {
 		if (!statedLoad.isInUse) {
 			return;
 		}
 		const shared = listSharedLinks(prompt);
-		const prefillTokens =
-			countTokens(shared) - Math.min(countTokens(shared), prefixCache.countCachedTokens(prompt));
-		if (prefillTokens < MIN_QUEUED_TOKENS || !this.tryAcquire(nowMs)) {
+		const sharedTokens = countTokens(shared);
+		const cachedTokens = Math.min(sharedTokens, prefixCache.countCachedTokens(prompt));
+		const uncachedTokens = sharedTokens - cachedTokens;
+		if (uncachedTokens < MIN_QUEUED_TOKENS || !this.tryAcquire(nowMs)) {
 			return;
 		}
+		const sourceTokens = Math.min(sharedTokens, cacheSource?.prefixCache.countCachedTokens(prompt) ?? 0);
+		const fetchedTokens = Math.max(0, sourceTokens - cachedTokens);
+		// With the fetched tokens in full, all peers would pass the engine over with all that it has cached.
+		const prefillTokens = Math.round(uncachedTokens - (1 - FETCH_TIME_RATIO) * fetchedTokens);
 		this.parts.broadcast({
 			kind: 'placement',
 			target: record.id,
--- a/packages/gateway/src/common/targetLoadEstimate.ts
+++ b/packages/gateway/src/common/targetLoadEstimate.ts
@@ -33,6 +33,8 @@
 	readonly reportedAtMs: number;
 	/** Whether this instance has it from the target itself. */
 	readonly isOwn: boolean;
+	/** Requests among them that have ended with the answer that brought the report. */
+	readonly endedRequests?: number;
 }
 
 export class TargetLoadEstimate {
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -266,7 +266,7 @@
 		}
 		response.bind(call);
 		if (this.prompt.length > 0 && !isRelayed) {
-			this.parts.recordPrompt(target, this.prompt);
+			this.parts.recordPrompt(target, this.prompt, placement.cacheSource);
 		}
 		return true;
 	}
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -46,7 +46,11 @@
 	/** This instance. */
 	readonly self: FleetInstance;
 	/** Records that a prompt was sent to a target, which caches it. */
-	readonly recordPrompt: (target: TargetState, prompt: PromptChain) => void;
+	readonly recordPrompt: (
+		target: TargetState,
+		prompt: PromptChain,
+		cacheSource: TargetState | undefined,
+	) => void;
 	/** Finds what began the stream that a caller resumes. */
 	readonly findStreamOrigin: (attemptId: string | undefined, service: string) => Promise<OriginLookup>;
 	/** Makes known to the fleet what began a stream, before the caller gets its first event. */
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -29,6 +29,10 @@
 const ADDRESS_GOSSIP_ROUNDS = 8;
 /** The first rounds all include addresses: the whole fleet may have just started and know only the seeds. */
 const INITIAL_ADDRESS_GOSSIP_ROUNDS = 8;
+/** With relays, one round in this many goes to addresses that do not answer, which would get most of the bytes. */
+const UNKNOWN_ADDRESS_ROUNDS = 3;
+/** Silence of a peer, in intervals, from which on states go through more relays, since one may be lost. */
+const SUSPICIOUS_SILENCE_INTERVALS = 1.5;
 /** How long state is sent to an address that never answers. */
 const CANDIDATE_TTL_MS = 30_000;
 /** A state that was under way for longer is dropped; the peer would have been discarded by then. */
@@ -50,7 +54,8 @@
 	readonly describeDepartedTargets: () => Pick<PeerState, 'leaving' | 'removed'>;
 	/** Called when the peers that are known from the seeds, and from the store if it answers, were sent a datagram. */
 	readonly onDidContactPeers: () => void;
-	readonly onPeerState: (state: PeerState, previous: PeerState | undefined) => void;
+	/** @param ageMs time for which the state was under way beyond what is usual; its list's age includes it already */
+	readonly onPeerState: (state: PeerState, previous: PeerState | undefined, ageMs: number) => void;
 	/** Called when a peer is heard of for the first time since its start. */
 	readonly onPeerStart: (instance: FleetInstance) => void;
 	/** Called with a message that a peer sent to this instance alone. */
@@ -191,8 +196,13 @@
 		addresses.delete(this.parts.self.controlAddress);
 		if (plan !== undefined) {
 			const older = new Set(plan.older);
-			for (const address of known.filter((peer) => !older.has(peer))) {
-				addresses.delete(address);
+			const peerAddresses = new Set(known);
+			const includesUnknown = this.rounds % UNKNOWN_ADDRESS_ROUNDS === 0;
+			for (const address of addresses) {
+				const isIncluded = peerAddresses.has(address) ? older.has(address) : includesUnknown;
+				if (!isIncluded) {
+					addresses.delete(address);
+				}
 			}
 			this.transport.sendWithRelays(state, plan.direct, plan.relays);
 		}
@@ -255,7 +265,9 @@
 			isServing: state.isServing,
 			ageMs,
 		}));
-		return this.relays.plan(peers, relays);
+		const maxSilenceMs = SUSPICIOUS_SILENCE_INTERVALS * computeRelayedInterval(peers.length);
+		const hasSilentPeer = peers.some(({ ageMs }) => ageMs > maxSilenceMs);
+		return this.relays.plan(peers, hasSilentPeer ? URGENT_RELAYS : relays);
 	}
 
 	private listRelayRecipients({ instance }: PeerState): readonly string[] {
@@ -343,7 +355,11 @@
 				configurationVersion: state.configurationVersion,
 			});
 		}
-		this.parts.onPeerState({ ...state, targetsAgeMs: state.targetsAgeMs + Math.round(ageMs) }, previous);
+		this.parts.onPeerState(
+			{ ...state, targetsAgeMs: state.targetsAgeMs + Math.round(ageMs) },
+			previous,
+			ageMs,
+		);
 		return true;
 	}
 
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -323,9 +323,9 @@
 				},
 				choosePeer: (excluded, regions) => this.choosePeer(excluded, regions),
 				self: settings.self,
-				recordPrompt: (target, prompt) => {
+				recordPrompt: (target, prompt, cacheSource) => {
 					const nowMs = performance.now();
-					this.placementAnnouncer.announce(target, prompt, nowMs);
+					this.placementAnnouncer.announce(target, prompt, cacheSource, nowMs);
 					this.promptCacheSync.recordPlacement(target, prompt, nowMs);
 				},
 				findStreamOrigin: (attemptId, service) => this.streamOriginSync.find(attemptId, service),
@@ -346,8 +346,8 @@
 			onDidContactPeers: () => {
 				this.handlePeersContacted();
 			},
-			onPeerState: (state) => {
-				this.peerExchange.handlePeerState(state);
+			onPeerState: (state, _, ageMs) => {
+				this.peerExchange.handlePeerState(state, ageMs);
 				this.checkServing(performance.now());
 			},
 			onPeerStart: (instance) => {
--- a/packages/gateway/src/node/loadReportSync.ts
+++ b/packages/gateway/src/node/loadReportSync.ts
@@ -46,8 +46,10 @@
 				return;
 			case 'load': {
 				// The request ends right after this, and is taken from the load then.
-				const requests = stated.requests + (isCounted ? 0 : 1);
-				this.record(target, { requests, slowdown: stated.slowdown, reportedAtMs: nowMs, isOwn: true });
+				const endedRequests = isCounted ? 0 : 1;
+				const requests = stated.requests + endedRequests;
+				const { slowdown } = stated;
+				this.record(target, { requests, slowdown, reportedAtMs: nowMs, isOwn: true, endedRequests });
 				return;
 			}
 		}
@@ -67,7 +69,9 @@
 			}
 			const ageMs = nowMs - report.reportedAtMs;
 			if (ageMs <= Math.min(peerIntervalMs, Math.max(SLOWDOWN_VALID_MS, service.residenceMs))) {
-				loads.push({ id: record.id, requests: report.requests, slowdown: report.slowdown, ageMs });
+				// Peers learn of the end of the request in no other way.
+				const requests = report.requests - (report.endedRequests ?? 0);
+				loads.push({ id: record.id, requests, slowdown: report.slowdown, ageMs });
 			}
 		}
 		const numbers = encodeLoadReports(loads, this.listSortedIds());
@@ -82,7 +86,8 @@
 		for (const { id, requests, slowdown, ageMs } of decodeLoadReports(targetReports, this.listSortedIds())) {
 			const target = this.parts.targets.find(id);
 			if (target !== undefined) {
-				this.record(target, { requests, slowdown, reportedAtMs: nowMs - ageMs, isOwn: false });
+				const reportedAtMs = nowMs - ageMs;
+				this.record(target, { requests, slowdown, reportedAtMs, isOwn: false });
 			}
 		}
 	}
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -86,7 +86,8 @@
 			: encodeTargetList({ list, ageMs: Math.round(view.computeAge(nowMs)), coldness });
 	}
 
-	public handlePeerState(state: PeerState): void {
+	/** @param stateAgeMs time for which the state was under way beyond what is usual */
+	public handlePeerState(state: PeerState, stateAgeMs: number): void {
 		const { catchUp, configurationSync, crashTracker, promptCacheSync, store, targetListSync } = this.parts;
 		const nowMs = performance.now();
 		const { configurationVersion, targetsRevision, targetsAgeMs, targetsDigest } = state;
@@ -108,7 +109,7 @@
 		crashTracker.adoptPeerState(state, nowMs);
 		this.parts.requestLimitSync.adopt(state.targetLimits ?? [], nowMs);
 		this.parts.coldTargetSync.adoptPeerState(state, nowMs);
-		this.parts.loadReportSync.adopt(state, nowMs);
+		this.parts.loadReportSync.adopt(state, nowMs - stateAgeMs);
 	}
 
 	private listLoads(): readonly TargetLoad[] {
--- a/packages/gateway/src/node/targetListSync.ts
+++ b/packages/gateway/src/node/targetListSync.ts
@@ -65,7 +65,8 @@
 	private backoffUntilMs = 0;
 	private isStoreUnreachable = false;
 	/** What the entries of the newest list state of cold targets, as this instance or a peer read them. */
-	private readColdness: { readonly entries: readonly ListedColdness[]; readonly readAtMs: number } | undefined;
+	private readColdness:
+		{ readonly entries: readonly ListedColdness[]; readonly readAtMs: number } | undefined;
 
 	constructor(private readonly parts: TargetListSyncParts) {}
 
--- a/packages/gateway/test/common/placementAnnouncer.test.ts
+++ b/packages/gateway/test/common/placementAnnouncer.test.ts
@@ -2,7 +2,7 @@
 import type { PlacementMessage } from '../../src/common/peerMessage.js';
 import { PlacementAnnouncer } from '../../src/common/placementAnnouncer.js';
 import { buildPromptChain } from '../../src/common/promptChain.js';
-import type { TargetState } from '../../src/common/targetState.js';
+import { TargetState } from '../../src/common/targetState.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import { makeRecord } from './fixtures.js';
 
@@ -36,24 +36,32 @@
 describe('PlacementAnnouncer', () => {
 	it('announces a long prefix that is not cached, and not one that is', () => {
 		const { announcer, engine, sent } = makeAnnouncer(true);
-		announcer.announce(engine, PROMPT, 0);
+		announcer.announce(engine, PROMPT, undefined, 0);
 		engine.prefixCache.recordPrompt(PROMPT, 280_000);
-		announcer.announce(engine, PROMPT, 1);
+		announcer.announce(engine, PROMPT, undefined, 1);
 		expect(sent.map(({ target, prefillTokens }) => [target, prefillTokens])).to.deep.equal([
 			['engine', 8620],
 		]);
 	});
 
+	it('a prefix that is fetched from another engine counts as the part of its prefill that a fetch takes', () => {
+		const { announcer, engine, sent } = makeAnnouncer(true);
+		const source = new TargetState(engine.record);
+		source.prefixCache.recordPrompt(PROMPT, 280_000);
+		announcer.announce(engine, PROMPT, source, 0);
+		expect(sent.map(({ prefillTokens }) => prefillTokens)).to.deep.equal([2586]);
+	});
+
 	it('services without load reports are served as before: nothing is announced', () => {
 		const { announcer, engine, sent } = makeAnnouncer(false);
-		announcer.announce(engine, PROMPT, 0);
+		announcer.announce(engine, PROMPT, undefined, 0);
 		expect(sent).to.deep.equal([]);
 	});
 
 	it('a flood of new prefixes: at most five a second are announced after a burst of ten', () => {
 		const { announcer, engine, sent } = makeAnnouncer(true);
 		for (let nowMs = 0; nowMs < 4000; nowMs += 10) {
-			announcer.announce(engine, PROMPT, nowMs);
+			announcer.announce(engine, PROMPT, undefined, nowMs);
 		}
 		expect(sent.length).to.be.within(28, 30);
 	});
--- a/packages/gateway/test/model/fleetModel.ts
+++ b/packages/gateway/test/model/fleetModel.ts
@@ -217,7 +217,7 @@
 		engine.running += 1;
 		target.recordRequestSent(this.nowMs, this.options.durationMs);
 		target.ownPrefillTokens += prefillTokens;
-		instance.announcer.announce(target, prompt, this.nowMs);
+		instance.announcer.announce(target, prompt, cacheSource, this.nowMs);
 		instance.prompts.recordPlacement(target, prompt, this.nowMs);
 		const firstTokenMs = engine.schedulePrefill(unreadTokens, this.nowMs) - this.nowMs;
 		this.longestPrefillMs = Math.max(this.longestPrefillMs, firstTokenMs);
