Decide what to give up when the memory for callers is short

Cause: each unread answer has back-pressure, but nothing bounds request bodies and answers together, and a process above its limit is killed. Change: one budget with an account for each request. An unread answer may hold as much as is still free; while memory is short, answers whose callers take nothing are lost, the largest first; bodies that do not fit are to be refused. Nothing uses it yet. Measured: the 8 tests of the module pass.

--- /dev/null
+++ b/packages/gateway/src/common/memoryBudget.ts
@@ -0,0 +1,256 @@
+/**
+ * Limits what one process holds for others: request bodies, and answers that were read from targets but not yet taken by
+ * callers. As the budget fills, the answers with the most unread bytes are paused first, then answers whose callers take
+ * nothing are lost, and at last request bodies are refused.
+ */
+import type { EventLog } from './eventLog.js';
+
+/**
+ * Share of the process's memory. The rest is for Node.js, for the gateway's own state, and for buffers that were released
+ * and not yet collected, which may be as many bytes again.
+ */
+const BUDGET_SHARE = 0.25;
+/** Free share of the budget below which memory is short, so that answers which stay unread are lost. */
+const SHORT_SHARE = 0.125;
+/** Free share of the budget from which on memory is no longer short. */
+const REGAINED_SHARE = 0.25;
+
+/**
+ * Time without progress after which a caller counts as stalled while memory is short. Targets cut off answers that stay
+ * unread for some seconds.
+ */
+const STALL_LIMIT_MS = 5000;
+
+/** An answer on its way to a caller. */
+export interface UnreadAnswer {
+	/** Bytes that are held because the caller has not taken them yet. */
+	readonly unreadBytes: number;
+	/** Has `recordStall` called once if the caller takes nothing for this time. */
+	watchForStall(limitMs: number): void;
+	/** Closes the caller's connection, so that the answer does not look complete. */
+	reset(): void;
+}
+
+export interface MemoryBudgetParts {
+	readonly log: EventLog;
+	readonly countDecision: (event: string) => void;
+}
+
+/** @param memoryBytes memory that the process may use in all */
+export function computeBudgetBytes(memoryBytes: number): number {
+	return Math.floor(memoryBytes * BUDGET_SHARE);
+}
+
+export class MemoryBudget {
+	private readonly requests = new Set<HeldMemory>();
+	private totalBytes = 0;
+	private wasShort = false;
+
+	constructor(
+		public readonly limitBytes: number,
+		private readonly parts: MemoryBudgetParts,
+	) {}
+
+	public get heldBytes(): number {
+		return this.totalBytes;
+	}
+
+	public get freeBytes(): number {
+		return Math.max(0, this.limitBytes - this.totalBytes);
+	}
+
+	/** Starts the account of one request, which ends with `release`. */
+	public open(requestId: string, answer: UnreadAnswer): HeldMemory {
+		const held = new HeldMemory(this, requestId, answer);
+		this.requests.add(held);
+		return held;
+	}
+
+	/** Whether a body, or a further part of one, fits. */
+	public hasRoomFor(bytes: number): boolean {
+		return this.totalBytes + bytes <= this.limitBytes;
+	}
+
+	/** Called periodically: frees room if memory is short, and lets paused answers for which there is room go on. */
+	public tick(): void {
+		for (const held of this.requests) {
+			held.refresh();
+		}
+		this.updateShortage();
+		if (this.wasShort) {
+			for (const held of this.requests) {
+				held.watchForStall();
+			}
+			this.dropStalled();
+		}
+		for (const held of this.requests) {
+			held.resumeIfRoom();
+		}
+	}
+
+	/** Called by the accounts. */
+	public add(bytes: number): void {
+		this.totalBytes += bytes;
+	}
+
+	/** Called by an account that ends. */
+	public close(held: HeldMemory): void {
+		this.requests.delete(held);
+	}
+
+	/** Called by an account whose answer is paused. */
+	public countPause(): void {
+		this.parts.countDecision('unreadAnswerPaused');
+	}
+
+	private get isShort(): boolean {
+		return this.freeBytes < this.limitBytes * SHORT_SHARE;
+	}
+
+	private updateShortage(): void {
+		const isShort = this.wasShort ? this.freeBytes < this.limitBytes * REGAINED_SHARE : this.isShort;
+		if (isShort === this.wasShort) {
+			return;
+		}
+		this.wasShort = isShort;
+		this.parts.log.write('state', isShort ? 'memoryShort' : 'memoryRegained', {
+			heldBytes: this.totalBytes,
+			limitBytes: this.limitBytes,
+			requests: this.requests.size,
+		});
+	}
+
+	/** Gives up answers whose callers take nothing, those with the most unread bytes first, until memory is not short. */
+	private dropStalled(): void {
+		const stalled = [...this.requests].filter(({ isStalled }) => isStalled);
+		stalled.sort((a, b) => a.answerBytes - b.answerBytes);
+		for (let held = stalled.pop(); held !== undefined && this.isShort; held = stalled.pop()) {
+			this.parts.countDecision('unreadAnswerDropped');
+			this.parts.log.write('decision', 'unreadAnswerDropped', {
+				id: held.requestId,
+				unreadBytes: held.answerBytes,
+				heldBytes: this.totalBytes,
+			});
+			held.drop();
+		}
+	}
+}
+
+/** What is held for one request, from its arrival until its answer is taken or its caller has left. */
+export class HeldMemory {
+	private bodyBytes = 0;
+	private unreadBytes = 0;
+	private isReleased = false;
+	private hasStalled = false;
+	private isWatched = false;
+	private resume: (() => void) | undefined;
+
+	constructor(
+		private readonly budget: MemoryBudget,
+		public readonly requestId: string,
+		private readonly answer: UnreadAnswer,
+	) {}
+
+	/** Bytes of the answer that the caller has not taken, as of the last update. */
+	public get answerBytes(): number {
+		return this.unreadBytes;
+	}
+
+	/** Whether the caller has taken nothing for too long. */
+	public get isStalled(): boolean {
+		return this.hasStalled;
+	}
+
+	/** Adds a part of the request's body; false if it does not fit, and the request is to be refused. */
+	public addBody(bytes: number): boolean {
+		if (!this.budget.hasRoomFor(bytes)) {
+			return false;
+		}
+		if (!this.isReleased) {
+			this.bodyBytes += bytes;
+			this.budget.add(bytes);
+		}
+		return true;
+	}
+
+	/** Called when the body is no longer needed. */
+	public releaseBody(): void {
+		this.budget.add(-this.bodyBytes);
+		this.bodyBytes = 0;
+	}
+
+	/** Records how many bytes of the answer are held at this moment. */
+	public recordAnswer(bytes: number): void {
+		if (!this.isReleased) {
+			this.budget.add(bytes - this.unreadBytes);
+			this.unreadBytes = bytes;
+		}
+	}
+
+	/**
+	 * Whether an answer under back-pressure is to be read no further: it may hold as much as is still free. So answers of
+	 * callers that take the least of what they are sent are paused first, and one caller cannot fill the budget.
+	 */
+	public shouldPause(): boolean {
+		return this.unreadBytes > this.budget.freeBytes;
+	}
+
+	/** Records that the answer is paused. `resume` is called when there is room for more of it. */
+	public pause(resume: () => void): void {
+		this.resume = resume;
+		this.budget.countPause();
+	}
+
+	/**
+	 * Called when nothing was sent to a watched caller for the time in which it has to take something.
+	 * @param isUnread whether there was something to take
+	 */
+	public recordStall(isUnread: boolean): void {
+		this.isWatched = false;
+		this.hasStalled = isUnread && !this.isReleased;
+	}
+
+	/** Takes over how much the caller has taken since the last update. */
+	public refresh(): void {
+		if (this.unreadBytes === 0) {
+			return;
+		}
+		const { unreadBytes } = this.answer;
+		this.hasStalled &&= unreadBytes >= this.unreadBytes;
+		this.recordAnswer(unreadBytes);
+	}
+
+	/** Has the caller of an unread answer watched, unless it is watched already. */
+	public watchForStall(): void {
+		if (this.unreadBytes > 0 && !this.isWatched && !this.hasStalled) {
+			this.isWatched = true;
+			this.answer.watchForStall(STALL_LIMIT_MS);
+		}
+	}
+
+	/** Lets a paused answer go on; half of the free room, so that it does not pause at its next bytes. */
+	public resumeIfRoom(): void {
+		if (this.resume !== undefined && this.unreadBytes <= this.budget.freeBytes / 2) {
+			const { resume } = this;
+			this.resume = undefined;
+			resume();
+		}
+	}
+
+	public drop(): void {
+		this.release();
+		this.answer.reset();
+	}
+
+	/** Ends the account, whatever ended the request. */
+	public release(): void {
+		if (!this.isReleased) {
+			this.releaseBody();
+			this.recordAnswer(0);
+			this.resume = undefined;
+			this.hasStalled = false;
+			this.isReleased = true;
+			this.budget.close(this);
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/test/common/memoryBudget.test.ts
@@ -0,0 +1,125 @@
+import { expect } from 'chai';
+import type { HeldMemory, UnreadAnswer } from '../../src/common/memoryBudget.js';
+import { computeBudgetBytes, MemoryBudget } from '../../src/common/memoryBudget.js';
+
+const LIMIT_BYTES = 1000;
+
+class FakeAnswer implements UnreadAnswer {
+	public unreadBytes = 0;
+	public isWatched = false;
+	public isReset = false;
+
+	public watchForStall(): void {
+		this.isWatched = true;
+	}
+
+	public reset(): void {
+		this.isReset = true;
+	}
+}
+
+describe('MemoryBudget', () => {
+	let budget: MemoryBudget;
+	let events: string[];
+
+	beforeEach(() => {
+		events = [];
+		budget = new MemoryBudget(LIMIT_BYTES, {
+			log: {
+				write: (_, event) => {
+					events.push(event);
+				},
+			},
+			countDecision: () => undefined,
+		});
+	});
+
+	function open(unreadBytes = 0): { held: HeldMemory; answer: FakeAnswer } {
+		const answer = new FakeAnswer();
+		const held = budget.open('1', answer);
+		setUnread(held, answer, unreadBytes);
+		return { held, answer };
+	}
+
+	function setUnread(held: HeldMemory, answer: FakeAnswer, bytes: number): void {
+		answer.unreadBytes = bytes;
+		held.recordAnswer(bytes);
+	}
+
+	it('an instance of 250 MB holds 62.5 MB', () => {
+		expect(computeBudgetBytes(250e6)).to.equal(62.5e6);
+	});
+
+	it('a body that does not fit is refused, and one that fits then is accepted', () => {
+		const { held } = open(400);
+		expect(held.addBody(600)).to.equal(true);
+		expect(open().held.addBody(1)).to.equal(false);
+		expect(budget.hasRoomFor(0)).to.equal(true);
+		held.releaseBody();
+		expect(open().held.addBody(600)).to.equal(true);
+	});
+
+	it('whatever ends a request, twice or with late writes, nothing stays counted', () => {
+		const { held, answer } = open(300);
+		held.addBody(200);
+		held.release();
+		held.release();
+		setUnread(held, answer, 500);
+		held.releaseBody();
+		budget.tick();
+		expect(budget.heldBytes).to.equal(0);
+	});
+
+	it('the answer with the most unread bytes is paused first, while others go on', () => {
+		const slow = open(500).held;
+		const other = open(100).held;
+		expect(slow.shouldPause()).to.equal(true);
+		expect(other.shouldPause()).to.equal(false);
+	});
+
+	it('a paused answer goes on when memory becomes free, though its caller has taken nothing', () => {
+		const { held } = open(300);
+		const body = open();
+		body.held.addBody(400);
+		let resumed = 0;
+		held.pause(() => {
+			resumed += 1;
+		});
+		budget.tick();
+		expect(resumed).to.equal(0);
+		body.held.release();
+		budget.tick();
+		budget.tick();
+		expect(resumed).to.equal(1);
+	});
+
+	it('while memory is free, no caller is watched and a stalled one keeps its answer', () => {
+		const { held, answer } = open(500);
+		held.recordStall(true);
+		budget.tick();
+		expect(answer).to.include({ isWatched: false, isReset: false });
+	});
+
+	it('while memory is short, only as many stalled answers are lost as needed, the largest first', () => {
+		const [small, large, reading] = [open(300), open(350), open(300)];
+		budget.tick();
+		expect([small, large, reading].map(({ answer }) => answer.isWatched)).to.deep.equal([true, true, true]);
+		small.held.recordStall(true);
+		large.held.recordStall(true);
+		budget.tick();
+		expect([small, large, reading].map(({ answer }) => answer.isReset)).to.deep.equal([false, true, false]);
+		expect(budget.heldBytes).to.equal(600);
+		budget.tick();
+		expect(events).to.deep.equal(['memoryShort', 'unreadAnswerDropped', 'memoryRegained']);
+	});
+
+	it('a caller that reads again after a stall, or waits for its target, loses nothing', () => {
+		const [again, waiting] = [open(500), open(450)];
+		budget.tick();
+		again.held.recordStall(true);
+		again.answer.unreadBytes = 499;
+		waiting.held.recordStall(false);
+		budget.tick();
+		expect([again.answer.isReset, waiting.answer.isReset]).to.deep.equal([false, false]);
+	});
+});
