Limit what an instance holds for callers by the memory it is granted

Cause: an answer was read only as fast as its caller took it, so targets cut off slow callers' answers; and callers that read nothing, or many large bodies, could exceed the memory limit. Bodies are counted as they arrive and refused with reason memoryShort before they are sent anywhere; answers are read on under back-pressure while the budget allows it. Bodies are released when their request ends rather than when its answer is taken.

--- a/packages/gateway/src/common/refusal.ts
+++ b/packages/gateway/src/common/refusal.ts
@@ -21,6 +21,8 @@
 	| 'capacityShort'
 	/** The request would end after its deadline on every target. */
 	| 'deadlineTooShort'
+	/** What this instance holds for callers has reached its limit. */
+	| 'memoryShort'
 	| 'crashingRequest'
 	/** No instance knows which version began the stream that the caller resumes. */
 	| 'unknownStream'
@@ -89,6 +91,7 @@
 			return { status: 503, retryAfterMs: returnDelayMs ?? addJitter(RECOVERY_RETRY_AFTER_MS) };
 		case 'noConnection':
 		case 'targetsBusy':
+		case 'memoryShort':
 		case 'timeoutBeforeRun':
 			return { status: 503, retryAfterMs: addJitter(BUSY_RETRY_AFTER_MS) };
 		case 'draining':
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -82,6 +82,7 @@
 	private discardResult: AttemptResult | undefined;
 	private call: Call | undefined;
 	private isSettled = false;
+	private isPaused = false;
 
 	constructor(private readonly options: AttemptResponseOptions) {}
 
@@ -182,6 +183,7 @@
 	private collectBody(chunk: Buffer): void {
 		this.bufferedChunks.push(chunk);
 		this.bufferedBytes += chunk.length;
+		this.options.response.recordBuffered(this.bufferedBytes);
 		if (this.bufferedBytes <= MAX_BUFFERED_BYTES || this.head === undefined) {
 			return;
 		}
@@ -247,12 +249,15 @@
 	}
 
 	private write(chunk: Buffer): void {
-		if (!this.options.response.write(chunk)) {
-			this.call?.pause();
-			this.options.response.onDrain(() => {
-				this.call?.resume();
-			});
+		if (this.options.response.write(chunk) || this.isPaused) {
+			return;
 		}
+		this.isPaused = true;
+		this.call?.pause();
+		this.options.response.onDrain(() => {
+			this.isPaused = false;
+			this.call?.resume();
+		});
 	}
 
 	private report(result: AttemptResult): void {
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -1,20 +1,35 @@
 /** Writes one response to a caller. A response that cannot be completed is reset, so that it never looks complete. */
 import type { ServerResponse } from 'node:http';
 import { HOP_BY_HOP_HEADERS, parseConnectionHeader } from '@papayawell/core';
+import type { HeldMemory, UnreadAnswer } from '../common/memoryBudget.js';
 import type { ErrorResponse, RefusalReason } from '../common/refusal.js';
 import { buildErrorResponse } from '../common/refusal.js';
 import type { ResponseHead } from '../common/responseParser.js';
 
-export class CallerResponse {
+export class CallerResponse implements UnreadAnswer {
+	/** What is held for the request; undefined if the process has no budget. */
+	public readonly memory: HeldMemory | undefined;
 	private hasHead = false;
 	private isEnded = false;
+	private bufferedBytes = 0;
+	private hasStallListener = false;
 
-	/** @param isForwardedHeader whether a response header of a target is forwarded to the caller */
+	/**
+	 * @param isForwardedHeader whether a response header of a target is forwarded to the caller
+	 * @param openMemory starts the account of what is held for the request
+	 */
 	constructor(
 		private readonly response: ServerResponse,
 		private readonly isForwardedHeader: (name: string) => boolean,
 		private readonly isClosing: () => boolean,
-	) {}
+		openMemory?: (answer: UnreadAnswer) => HeldMemory | undefined,
+	) {
+		this.memory = openMemory?.(this);
+	}
+
+	public get unreadBytes(): number {
+		return this.bufferedBytes + this.response.writableLength;
+	}
 
 	/** Whether the response head was sent. */
 	public get hasStarted(): boolean {
@@ -26,20 +41,60 @@
 		this.writeHead(head, head.framing.kind === 'none' ? undefined : body.length);
 		this.isEnded = true;
 		this.response.end(body);
+		this.recordBuffered(0);
+	}
+
+	/** Records how much of an answer is buffered before its first byte is sent. */
+	public recordBuffered(bytes: number): void {
+		this.bufferedBytes = bytes;
+		this.memory?.recordAnswer(this.unreadBytes);
 	}
 
 	/** Starts a target's response whose body is streamed; its content length is kept if it has one. */
 	public start(head: ResponseHead): void {
 		this.writeHead(head, head.framing.kind === 'length' ? head.framing.length : undefined);
+		this.bufferedBytes = 0;
 	}
 
-	/** Returns false under back-pressure: wait for `onDrain` before the next chunk. */
+	/** Returns false under back-pressure that the memory does not allow to absorb: wait for `onDrain`. */
 	public write(chunk: Buffer): boolean {
-		return this.response.write(chunk);
+		const isTaken = this.response.write(chunk);
+		if (this.memory === undefined) {
+			return isTaken;
+		}
+		this.memory.recordAnswer(this.unreadBytes);
+		return isTaken || !this.memory.shouldPause();
 	}
 
+	/** Calls the listener once, when the caller has taken all that was written or memory has become free. */
 	public onDrain(listener: () => void): void {
-		this.response.once('drain', listener);
+		if (this.memory === undefined) {
+			this.response.once('drain', listener);
+			return;
+		}
+		let isCalled = false;
+		const callOnce = (): void => {
+			if (!isCalled) {
+				isCalled = true;
+				this.response.off('drain', callOnce);
+				listener();
+			}
+		};
+		this.response.once('drain', callOnce);
+		this.memory.pause(callOnce);
+	}
+
+	/** The runtime's socket time-out also counts as progress what the kernel takes of one large write. */
+	public watchForStall(limitMs: number): void {
+		this.response.setTimeout(limitMs);
+		if (this.hasStallListener) {
+			return;
+		}
+		this.hasStallListener = true;
+		this.response.on('timeout', () => {
+			// A caller cannot take what was not written yet.
+			this.memory?.recordStall(this.response.writableLength > 0);
+		});
 	}
 
 	public end(): void {
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -8,6 +8,7 @@
 import { DEFAULT_CALLER_LIMITS } from '../common/gatewayConfiguration.js';
 import type { GatewayRequest } from '../common/gatewayRequest.js';
 import { listSharedPartKeys } from '../common/promptChain.js';
+import type { MemoryBudget } from '../common/memoryBudget.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { CallerResponse } from './callerResponse.js';
@@ -27,6 +28,8 @@
 	readonly readSnapshot: () => ConfigurationSnapshot | undefined;
 	/** Whether the store that holds the configuration does not answer. */
 	readonly isStoreUnreachable: () => boolean;
+	/** Undefined if what is held for callers is not limited. */
+	readonly memory: MemoryBudget | undefined;
 }
 
 interface ReceivedRequest {
@@ -115,16 +118,19 @@
 	private handle(message: IncomingMessage, response: ServerResponse, relayed?: RelayedRequest): void {
 		const receivedAtMs = performance.now();
 		this.pendingRequests += 1;
-		response.once('close', () => {
-			this.pendingRequests -= 1;
-		});
+		const { memory } = this.options;
 		const { codec } = this.options.exchange;
 		const request = codec.readRequest(message.method ?? '', message.url ?? '', message.rawHeaders);
 		const callerResponse = new CallerResponse(
 			response,
 			(name) => codec.isForwardedToCaller(name),
 			() => this.isDraining,
+			(answer) => memory?.open(request.attemptId, answer),
 		);
+		response.once('close', () => {
+			this.pendingRequests -= 1;
+			callerResponse.memory?.release();
+		});
 		const apiKey = codec.readApiKey(message.headers);
 		const received: ReceivedRequest = { request, message, callerResponse, receivedAtMs, apiKey, relayed };
 		const snapshot = this.options.readSnapshot();
@@ -162,6 +168,11 @@
 		configurationVersion: number,
 	): void {
 		const { message, request, callerResponse, receivedAtMs, apiKey, relayed } = received;
+		const { memory } = callerResponse;
+		if (this.options.memory?.hasRoomFor(Number(message.headers['content-length'] ?? 0)) === false) {
+			this.refuse(received, 'memoryShort', configurationVersion);
+			return;
+		}
 		const parts: Buffer[] = [];
 		let bytes = 0;
 		let exchange: Exchange | undefined;
@@ -169,19 +180,28 @@
 			// The body did not arrive in time; an incomplete request gets no response.
 			response.destroy();
 		}, this.limits.idleTimeoutMs);
+		const refuseBody = (reason: RefusalReason): void => {
+			message.removeAllListeners('data');
+			message.removeAllListeners('end');
+			clearTimeout(timer);
+			parts.length = 0;
+			memory?.releaseBody();
+			this.refuse(received, reason, configurationVersion);
+		};
 		message.on('data', (part: Buffer) => {
 			parts.push(part);
 			bytes += part.length;
 			if (bytes > this.limits.maxBodyBytes) {
-				message.removeAllListeners('data');
-				message.removeAllListeners('end');
-				clearTimeout(timer);
-				this.refuse(received, 'bodyTooLarge', configurationVersion);
+				refuseBody('bodyTooLarge');
+			} else if (memory?.addBody(part.length) === false) {
+				refuseBody('memoryShort');
 			}
 		});
 		message.on('end', () => {
 			clearTimeout(timer);
 			const body = parts.length === 1 ? (parts[0] ?? Buffer.alloc(0)) : Buffer.concat(parts);
+			// The request is reachable until its response is closed, which may be long after the body was needed.
+			parts.length = 0;
 			const traits = {
 				fingerprint: computeFingerprint(customer?.name, request, body),
 				promptParts: listSharedPartKeys(request.prompt),
@@ -199,6 +219,8 @@
 			};
 			const started = new Exchange(this.options.exchange, input, callerResponse, () => {
 				this.exchanges.delete(started);
+				exchange = undefined;
+				memory?.releaseBody();
 			});
 			exchange = started;
 			this.exchanges.add(started);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -8,6 +8,7 @@
 import type { HeaderCodec } from '../common/gatewayRequest.js';
 import type { DirectoryCaller, RegionLookup } from '../common/homeRegions.js';
 import { buildRegionLookup, isZoneIn, listInstanceRegions } from '../common/homeRegions.js';
+import { computeBudgetBytes, MemoryBudget } from '../common/memoryBudget.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, PeerState } from '../common/peerState.js';
 import type { PeerMessage } from '../common/peerMessage.js';
@@ -75,6 +76,8 @@
 	readonly entryTtlMs: number;
 	/** Whether capacity is shared out while a service has less of it than its callers ask for. */
 	readonly sharesCapacity: boolean;
+	/** Memory that the process may use, in bytes; undefined if what it holds for callers is not limited. */
+	readonly memoryBytes?: number | undefined;
 }
 
 export interface GatewayDependencies {
@@ -127,6 +130,7 @@
 	private readonly coldTargetSync: ColdTargetSync;
 	private readonly loadReportSync: LoadReportSync;
 	private readonly admission: AdmissionControl | undefined;
+	private readonly memory: MemoryBudget | undefined;
 	private readonly streamOriginSync: StreamOriginSync;
 	private readonly pathMonitor: TargetPathMonitor;
 	private readonly peerRoutes: PeerRoutes;
@@ -169,6 +173,8 @@
 				requests: sentRequests,
 			})),
 			waiting: this.admission?.waiting ?? 0,
+			heldBytes: this.memory?.heldBytes ?? 0,
+			heldBytesLimit: this.memory?.limitBytes ?? 0,
 		}));
 		this.client = new TargetClient({
 			codec,
@@ -295,11 +301,14 @@
 			readOwnRank: () => this.membership.peers.findRankAmongServing(performance.now()),
 		});
 		this.admission = settings.sharesCapacity ? this.createAdmission(settings.seeds.length) : undefined;
+		this.memory =
+			settings.memoryBytes === undefined ? undefined : this.createMemoryBudget(settings.memoryBytes);
 		this.server = new CallerServer({
 			address: settings.self.callersAddress,
 			readSnapshot: () =>
 				this.catchUp.isComplete && this.evacuationSync.isReady ? this.activeConfiguration.current : undefined,
 			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
+			memory: this.memory,
 			exchange: {
 				codec,
 				targets: this.targets,
@@ -552,6 +561,7 @@
 		this.blockedPromptsSync.tick(nowMs);
 		this.targets.setPeerLoads(this.membership.peers.listAll().map(({ loads }) => loads));
 		this.admission?.tick(nowMs);
+		this.memory?.tick();
 		this.checkServing(nowMs);
 	}
 
@@ -640,6 +650,15 @@
 		});
 	}
 
+	private createMemoryBudget(memoryBytes: number): MemoryBudget {
+		return new MemoryBudget(computeBudgetBytes(memoryBytes), {
+			log: this.dependencies.log,
+			countDecision: (event) => {
+				this.metrics.countDecision(event);
+			},
+		});
+	}
+
 	private getCacheCapacity(target: TargetState): number {
 		return (
 			this.activeConfiguration.current?.configuration.services.get(target.record.service)?.kvCacheTokens ?? 0
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -22,6 +22,9 @@
 	readonly targetSends: readonly TargetSends[];
 	/** Requests that wait for capacity. */
 	readonly waiting: number;
+	/** Bytes held for callers, and their limit; 0 without a limit. */
+	readonly heldBytes: number;
+	readonly heldBytesLimit: number;
 }
 
 export interface TargetSends {
@@ -154,6 +157,8 @@
 	add('papayawell_evacuated_zones', 'Zones to whose targets nothing is sent.', (g) => g.evacuatedZones);
 	add('papayawell_cold_targets', 'Targets that are treated as cold.', (g) => g.coldTargets);
 	add('papayawell_waiting_requests', 'Requests that wait for capacity.', (g) => g.waiting);
+	add('papayawell_held_bytes', 'Bytes of requests and answers held for callers.', (g) => g.heldBytes);
+	add('papayawell_held_bytes_limit', 'Limit of these bytes; 0 if there is none.', (g) => g.heldBytesLimit);
 	add(
 		'papayawell_peer_state_age_seconds',
 		'Mean age of the states of other instances.',
--- a/packages/gateway/test/node/gatewayMetrics.test.ts
+++ b/packages/gateway/test/node/gatewayMetrics.test.ts
@@ -13,6 +13,8 @@
 			sentGossipBytes: { withinZone: 900, betweenZones: 70 },
 			droppedLogLines: 0,
 			waiting: 0,
+			heldBytes: 640,
+			heldBytesLimit: 1000,
 			targetSends: [{ service: 's', target: 'x', requests: 4 }],
 		};
 		const metrics = new GatewayMetrics(() => gauges);
@@ -30,6 +32,8 @@
 		expect(text).to.contain('papayawell_target_sends{service="s",target="x"} 4');
 		expect(text).to.contain('papayawell_configuration_version 7');
 		expect(text).to.contain('papayawell_targets_age_seconds 0.5');
+		expect(text).to.contain('papayawell_held_bytes 640');
+		expect(text).to.contain('papayawell_held_bytes_limit 1000');
 		expect(text).to.contain('papayawell_peer_state_age_seconds 0.25');
 		expect(text).to.contain('papayawell_gossip_bytes_total{scope="betweenZones"} 70');
 	});
