Forget stalls of callers when memory is no longer short

Cause: a caller that stalled in one shortage and reads again could lose its answer in a later one, since reading a part of one large write does not change the bytes that the runtime counts. Change: stalls are forgotten when the shortage ends.

--- a/packages/gateway/src/common/memoryBudget.ts
+++ b/packages/gateway/src/common/memoryBudget.ts
@@ -25,7 +25,7 @@
 export interface UnreadAnswer {
 	/** Bytes that are held because the caller has not taken them yet. */
 	readonly unreadBytes: number;
-	/** Has `recordStall` called once if the caller takes nothing for this time. */
+	/** Has `recordStall` called once if the caller takes nothing for this time; it may be called at twice the time. */
 	watchForStall(limitMs: number): void;
 	/** Closes the caller's connection, so that the answer does not look complete. */
 	reset(): void;
@@ -78,12 +78,10 @@
 		}
 		this.updateShortage();
 		if (this.wasShort) {
-			for (const held of this.requests) {
-				held.watchForStall();
-			}
 			this.dropStalled();
 		}
 		for (const held of this.requests) {
+			held.updateStallWatch(this.wasShort);
 			held.resumeIfRoom();
 		}
 	}
@@ -220,9 +218,11 @@
 		this.recordAnswer(unreadBytes);
 	}
 
-	/** Has the caller of an unread answer watched, unless it is watched already. */
-	public watchForStall(): void {
-		if (this.unreadBytes > 0 && !this.isWatched && !this.hasStalled) {
+	/** While memory is short, has the caller of an unread answer watched; a stall of an earlier shortage is forgotten. */
+	public updateStallWatch(isShort: boolean): void {
+		if (!isShort) {
+			this.hasStalled = false;
+		} else if (this.unreadBytes > 0 && !this.isWatched && !this.hasStalled) {
 			this.isWatched = true;
 			this.answer.watchForStall(STALL_LIMIT_MS);
 		}
--- a/packages/gateway/test/common/memoryBudget.test.ts
+++ b/packages/gateway/test/common/memoryBudget.test.ts
@@ -93,11 +93,13 @@
 		expect(resumed).to.equal(1);
 	});
 
-	it('while memory is free, no caller is watched and a stalled one keeps its answer', () => {
+	it('a caller that stalled while memory was free keeps its answer when it becomes short', () => {
 		const { held, answer } = open(500);
 		held.recordStall(true);
 		budget.tick();
-		expect(answer).to.include({ isWatched: false, isReset: false });
+		open(480);
+		budget.tick();
+		expect(answer).to.include({ isWatched: true, isReset: false });
 	});
 
 	it('while memory is short, only as many stalled answers are lost as needed, the largest first', () => {
