Check the documented log events against the common layer too

Cause: events that modules of the common layer write were not among those that the test reads, so that documenting the budget of memory failed it. Change: the test reads both layers.

--- a/packages/gateway/test/node/boundedWriter.test.ts
+++ b/packages/gateway/test/node/boundedWriter.test.ts
@@ -48,7 +48,7 @@
 describe('docs/OPERATIONS.md', () => {
 	it('lists exactly the log events that the sources write', () => {
 		const root = fileURLToPath(new URL('../../../../../', import.meta.url));
-		const sources = ['packages/gateway/src/node', 'platform/src']
+		const sources = ['packages/gateway/src/common', 'packages/gateway/src/node', 'platform/src']
 			.flatMap((folder) => readdirSync(`${root}${folder}`).map((file) => `${root}${folder}/${file}`))
 			.filter((file) => file.endsWith('.ts'))
 			.map((file) => readFileSync(file, 'utf8'))
