Free memory until it is no longer short

Cause: with ten callers that read nothing and a budget of 16 MB, memory stayed short for as long as the callers stayed: 12.9 MB were held, too little to drop an answer and too much to recover.

--- a/packages/gateway/src/common/memoryBudget.ts
+++ b/packages/gateway/src/common/memoryBudget.ts
@@ -101,12 +101,8 @@
 		this.parts.countDecision('unreadAnswerPaused');
 	}
 
-	private get isShort(): boolean {
-		return this.freeBytes < this.limitBytes * SHORT_SHARE;
-	}
-
 	private updateShortage(): void {
-		const isShort = this.wasShort ? this.freeBytes < this.limitBytes * REGAINED_SHARE : this.isShort;
+		const isShort = this.isBelow(this.wasShort ? REGAINED_SHARE : SHORT_SHARE);
 		if (isShort === this.wasShort) {
 			return;
 		}
@@ -118,11 +114,15 @@
 		});
 	}
 
+	private isBelow(freeShare: number): boolean {
+		return this.freeBytes < this.limitBytes * freeShare;
+	}
+
 	/** Gives up answers whose callers take nothing, those with the most unread bytes first, until memory is not short. */
 	private dropStalled(): void {
 		const stalled = [...this.requests].filter(({ isStalled }) => isStalled);
 		stalled.sort((a, b) => a.answerBytes - b.answerBytes);
-		for (let held = stalled.pop(); held !== undefined && this.isShort; held = stalled.pop()) {
+		for (let held = stalled.pop(); held !== undefined && this.isBelow(REGAINED_SHARE); held = stalled.pop()) {
 			this.parts.countDecision('unreadAnswerDropped');
 			this.parts.log.write('decision', 'unreadAnswerDropped', {
 				id: held.requestId,
