Divide the room of a brittle target as soon as it is listed

Cause: the state of a target that has just started was divided among one instance until the next tick, up to 100 ms later, so that each instance could fill all its slots. Change: the room is divided when the list has changed.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -667,6 +667,8 @@
 
 	private handleTargetChange(change: TargetListChange, source: TargetChangeSource): void {
 		this.targets.applyChange(change);
+		// Until its room is divided, each instance would fill all slots of a target that has just started.
+		this.brittlenessSync.tick();
 		this.coldTargetSync.handleTargetChange(change, performance.now());
 		this.versionHistory.update(this.view.records, performance.now());
 		for (const { id } of [...change.removed, ...change.changed.filter(({ isLeaving }) => isLeaving)]) {
