Do not grow the room of a brittle target while nobody may send

Cause: the room grew at each refusal, also while no request may leave after a rejection, so that it had regrown before a single request tested it. Change: the room does not grow before the instances may send again.

--- a/packages/gateway/src/common/targetBrittleness.ts
+++ b/packages/gateway/src/common/targetBrittleness.ts
@@ -124,7 +124,9 @@
 		if (this.bearable === undefined || this.hasRoom(ownRequests, nowMs)) {
 			return 0;
 		}
-		if (this.hearsOthers && nowMs >= Math.max(this.nextGrowthMs, this.sufficientUntilMs)) {
+		// While nobody may send, a refusal does not tell that there is too little room.
+		const growsAtMs = Math.max(this.nextGrowthMs, this.sufficientUntilMs, this.fullUntilMs);
+		if (this.hearsOthers && nowMs >= growsAtMs) {
 			this.room += Math.max(1, GROWTH_SHARE * this.slots);
 			this.nextGrowthMs = nowMs + GROWTH_INTERVAL_MS;
 		}
--- a/packages/gateway/test/common/targetBrittleness.test.ts
+++ b/packages/gateway/test/common/targetBrittleness.test.ts
@@ -77,6 +77,18 @@
 		}
 	});
 
+	// Guards against a room that has regrown, without a trial, before the requests that filled the target have ended.
+	it('does not grow the room while nobody may send after a rejection', () => {
+		const brittleness = new TargetBrittleness(SLOTS, 0);
+		brittleness.state(BEARABLE);
+		brittleness.recordEnd(20_000);
+		brittleness.recordRejection(0, undefined);
+		for (let nowMs = 0; nowMs < 4000; nowMs += 100) {
+			expect(countRoom(brittleness, nowMs)).to.equal(0);
+		}
+		expect(countRoom(brittleness, 4000)).to.equal(Math.floor(0.8 * SLOTS));
+	});
+
 	it('gives each of more instances than there is room a turn', () => {
 		const brittleness = new TargetBrittleness(SLOTS, 0);
 		brittleness.state(BEARABLE);
