Try an unreachable target once, and not by all instances together

Cause: all instances notice an outage at about the same moment, so those without a share were released together 10 s later; the limit of a target that was just back was exceeded. Change: an instance without a share waits longer by its rank for the target, sends one trial, and then waits again. The model no longer counts failed connections of instances that may not send, so that their time until a trial runs out as in a gateway.

--- a/packages/gateway/src/common/coldTargetShare.ts
+++ b/packages/gateway/src/common/coldTargetShare.ts
@@ -20,6 +20,12 @@
  */
 const SIMULTANEOUS_DIVISIONS = 2;
 
+/**
+ * Trials by instances without a share of a target that may be down, relative to the budget: together with the shares
+ * they must stay within the limit in any second.
+ */
+const TRIAL_SHARE = 0.5;
+
 /** Returns the requests that all instances with the same view of the fleet may send to a cold target in any second. */
 export function computeColdBudget(requestsPerSecond: number, { excess, extra }: ColdTargetBounds): number {
 	const limit = requestsPerSecond * excess + extra;
@@ -43,3 +49,18 @@
 	const instances = others.length + 1 + unknownInstances;
 	return Math.max(0, Math.ceil((budget - rank) / instances));
 }
+
+/**
+ * Returns the time in ms by which an instance without a share delays its trial of a target that may be down, so that
+ * instances that have found it down at the same moment do not try it together.
+ */
+export function computeTrialDelay(
+	budget: number,
+	targetHash: number,
+	self: LimitUser,
+	others: readonly LimitUser[],
+	unknownInstances: number,
+): number {
+	const rank = findUserRank(targetHash, self, others) + unknownInstances;
+	return budget === 0 ? 0 : (rank / (TRIAL_SHARE * budget)) * 1000;
+}
--- a/packages/gateway/src/common/targetColdness.ts
+++ b/packages/gateway/src/common/targetColdness.ts
@@ -22,7 +22,7 @@
 
 /**
  * Time after a failed connection, or a peer's report of one, for which an instance without a share waits to hear from the
- * others that the target is back, before it tries by itself.
+ * others that the target is back, before it tries once by itself. Each waits by its trial delay longer.
  */
 const UNREACHABLE_LIMIT_MS = 10_000;
 /** Failed connections of two instances within this time have the same cause, which is not the path of one of them. */
@@ -45,6 +45,7 @@
 	private assumedAtMs = -Infinity;
 	private cause: ColdnessCause = 'listed';
 	private ownShare = 0;
+	private trialDelayMs = 0;
 	/** When the target was last found to be unreachable; undefined after it was reached. */
 	private unreachableAtMs: number | undefined;
 	private isFoundUnreachable = false;
@@ -67,8 +68,10 @@
 	/**
 	 * @param coldStart the cold start of the target's service; undefined if its targets are never cold
 	 * @param share requests that this instance may send to the target in any second while it is cold
+	 * @param trialDelayMs time by which this instance tries an unreachable target later than others may
 	 */
-	public updateDefinition(coldStart: ColdStart | undefined, share: number): void {
+	public updateDefinition(coldStart: ColdStart | undefined, share: number, trialDelayMs = 0): void {
+		this.trialDelayMs = trialDelayMs;
 		this.coldStart = coldStart;
 		this.ownShare = Math.min(MAX_RECORDED_SENDS, share);
 	}
@@ -161,6 +164,10 @@
 
 	/** Records a request of this instance. Those sent before the target turned cold count in the same second. */
 	public recordSent(nowMs: number): void {
+		if (this.unreachableAtMs !== undefined && nowMs >= this.unreachableUntilMs) {
+			// Until this trial is answered, further requests could reach a target that has just come back.
+			this.unreachableAtMs = nowMs;
+		}
 		if (this.coldStart !== undefined) {
 			this.sentAtMs.push(nowMs);
 			if (this.sentAtMs.length > MAX_RECORDED_SENDS) {
@@ -179,9 +186,12 @@
 		if (this.coldStart === undefined) {
 			return 0;
 		}
-		const unreachableUntilMs = (this.unreachableAtMs ?? -Infinity) + UNREACHABLE_LIMIT_MS;
 		const assumedUntilMs = this.assumedAtMs + this.coldStart.durationMs;
-		return Math.max(0, this.statedUntilMs - nowMs, assumedUntilMs - nowMs, unreachableUntilMs - nowMs);
+		return Math.max(0, this.statedUntilMs - nowMs, assumedUntilMs - nowMs, this.unreachableUntilMs - nowMs);
+	}
+
+	private get unreachableUntilMs(): number {
+		return (this.unreachableAtMs ?? -Infinity) + UNREACHABLE_LIMIT_MS + this.trialDelayMs;
 	}
 
 	/** Whether this instance has reached the target again, and treats it as cold for that reason. */
--- a/packages/gateway/src/node/coldTargetSync.ts
+++ b/packages/gateway/src/node/coldTargetSync.ts
@@ -3,7 +3,7 @@
  * handle.
  */
 import type { ColdTargetBounds } from '../common/coldTargetShare.js';
-import { computeColdBudget, computeColdShare } from '../common/coldTargetShare.js';
+import { computeColdBudget, computeColdShare, computeTrialDelay } from '../common/coldTargetShare.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { ServiceDefinition } from '../common/gatewayConfiguration.js';
 import { InstanceRoster } from '../common/instanceRoster.js';
@@ -284,7 +284,9 @@
 			const coldStart = getService(record.service)?.coldStart;
 			const budget = coldStart === undefined ? 0 : computeColdBudget(coldStart.requestsPerSecond, bounds);
 			const share = isMember ? computeColdShare(budget, nameHash, this.self, others, unknownInstances) : 0;
-			coldness.updateDefinition(coldStart, share);
+			const trialDelayMs =
+				share > 0 ? 0 : computeTrialDelay(budget, nameHash, this.self, others, unknownInstances);
+			coldness.updateDefinition(coldStart, share, trialDelayMs);
 		}
 	}
 
--- a/packages/gateway/test/common/targetColdness.test.ts
+++ b/packages/gateway/test/common/targetColdness.test.ts
@@ -81,6 +81,17 @@
 		expect(coldness.computeRemaining(20_000)).to.equal(0);
 	});
 
+	// Guards against all instances without a share sending at once to a target that returns after 10 s.
+	it('an instance without a share tries an unreachable target once, after its delay, and then waits again', () => {
+		coldness.updateDefinition(COLD_START, 0, 4000);
+		coldness.recordUnreachable(0);
+		expect(coldness.computeDelay(13_999)).to.equal(Infinity);
+		expect(coldness.computeDelay(14_000)).to.equal(0);
+		coldness.recordSent(14_000);
+		expect(coldness.computeDelay(27_999)).to.equal(Infinity);
+		expect(coldness.computeDelay(28_000)).to.equal(0);
+	});
+
 	it('one instance that cannot reach a target may have lost its path; two make it cold for all', () => {
 		coldness.adoptUnreachable('a', 0);
 		coldness.adoptUnreachable('a', 100);
--- a/packages/gateway/test/model/coldTargets.test.ts
+++ b/packages/gateway/test/model/coldTargets.test.ts
@@ -22,6 +22,10 @@
 	readonly isCutTogether?: boolean;
 	/** Requests of each instance for each target. */
 	readonly demandPerSecond?: number;
+	/** Time for which the targets are down before each return. */
+	readonly downMs?: number;
+	/** Whether no instance reads in a list that the targets started again. */
+	readonly isStoreDown?: boolean;
 	/** How often an instance is killed and starts again, knowing nothing; infinity for never. */
 	readonly restartIntervalMs?: number;
 }
@@ -173,13 +177,13 @@
 	}
 
 	public run(): Outcome {
-		const { restartIntervalMs = Infinity } = this.load;
-		const returns = RETURNS_AT_MS.map(
-			(atMs) => [atMs - DOWN_MS, atMs, atMs + COLD_START.durationMs] as const,
+		const { restartIntervalMs = Infinity, downMs = DOWN_MS, isStoreDown = false } = this.load;
+		const returns = RETURNS_AT_MS.filter((atMs) => atMs >= downMs).map(
+			(atMs) => [atMs - downMs, atMs, atMs + COLD_START.durationMs] as const,
 		);
 		for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
 			this.nowMs = nowMs;
-			if (returns.some(([, atMs]) => atMs === nowMs)) {
+			if (!isStoreDown && returns.some(([, atMs]) => atMs === nowMs)) {
 				this.start += 1;
 			}
 			if (nowMs % restartIntervalMs === restartIntervalMs - STEP_MS) {
@@ -194,7 +198,7 @@
 			}
 		}
 		const counts = this.arrivedAtMs.map((times) => times.length);
-		const coldS = (RETURNS_AT_MS.length * COLD_START.durationMs) / 1000;
+		const coldS = (returns.length * COLD_START.durationMs) / 1000;
 		return {
 			busiest: Math.max(...this.arrivedAtMs.map(findBusiestWindow)),
 			mean: counts.reduce((sum, count) => sum + count, 0) / (TARGETS * coldS),
@@ -223,10 +227,13 @@
 				if (this.random() >= probability || target === undefined) {
 					continue;
 				}
+				if (target.computePause(nowMs + clockMs) > 0) {
+					continue;
+				}
+				target.recordRequestSent(nowMs + clockMs, 0);
 				if (isDown) {
 					target.coldness.recordUnreachable(nowMs + clockMs);
-				} else if (target.computePause(nowMs + clockMs) === 0) {
-					target.recordRequestSent(nowMs + clockMs, 0);
+				} else {
 					target.recordActivity(nowMs + clockMs);
 					times.push(nowMs);
 				}
@@ -260,6 +267,9 @@
 			['a third is split off', { cutShare: 0.34, isCutTogether: true }],
 			// Most instances send nothing while the targets are down, and read late in the list that they started again.
 			['few requests find that the targets are down', { demandPerSecond: Math.min(10, 60 / instances) }],
+			// Instances without a share try by themselves during a long outage, and must not do so together at its end.
+			['the targets are down for 9.5 s and the store, too', { downMs: 9500, isStoreDown: true }],
+			['the targets are down for 19.5 s and the store, too', { downMs: 19_500, isStoreDown: true }],
 			['an instance restarts every second', { restartIntervalMs: 1000 }],
 			[
 				'some restart while a third is split off',
