Explain where a request would go now, and why, by papayawell where

An operator could not tell why requests went to one target and not to another, or were refused, without reading the decision code beside a log.

A read-only path /explain at the metrics address runs the admission and the placement of a request on copies of their state, with random numbers of its own, and names the step at which each target was passed over. The command papayawell where prints the answer.

--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -22,6 +22,7 @@
 } from './commands/standIn.js';
 import { ReplayCommand } from './commands/replay.js';
 import { TraceGenerateCommand } from './commands/traceGenerate.js';
+import { WhereCommand } from './commands/where.js';
 
 const cli = new Cli({ binaryLabel: 'papayawell', binaryName: 'papayawell', binaryVersion: '0.1.0' });
 cli.register(Builtins.HelpCommand);
@@ -51,5 +52,6 @@
 cli.register(StandInInstanceListCommand);
 cli.register(ReplayCommand);
 cli.register(TraceGenerateCommand);
+cli.register(WhereCommand);
 
 await cli.runExit(process.argv.slice(2));
--- a/packages/core/src/common/fairness/fairQueue.ts
+++ b/packages/core/src/common/fairness/fairQueue.ts
@@ -79,15 +79,21 @@
 		return ahead;
 	}
 
+	/** Whether a further request of the customer would exceed its limit or that of the whole queue. */
+	public isFull(customer: string): boolean {
+		return (
+			this.countQueued(customer) >= this.options.maxQueuedPerCustomer || this.size >= this.options.maxQueued
+		);
+	}
+
 	/**
 	 * Adds a request. Refuses it at once if its customer or the whole queue is at its limit, or if it would
 	 * time out in the queue at the rate at which its customer is served.
 	 */
 	public enqueue(entry: QueueEntry<T>): EnqueueResult {
 		const count = this.countQueued(entry.customer);
-		const isFull = count >= this.options.maxQueuedPerCustomer || this.size >= this.options.maxQueued;
 		const acceptsWait = this.options.acceptsLongWaits === true || !this.isExpectedToTimeOut(entry);
-		if (isFull || !acceptsWait) {
+		if (this.isFull(entry.customer) || !acceptsWait) {
 			return { kind: 'refused', retryAfterMs: this.estimateWait(entry.customer) };
 		}
 		this.getPriorityQueue(entry.priority).enqueue(entry.customer, entry.weight, 1, entry);
--- a/packages/core/src/common/fairness/inFlightShareTracker.ts
+++ b/packages/core/src/common/fairness/inFlightShareTracker.ts
@@ -64,6 +64,12 @@
 		return this.customers.get(customer)?.own ?? 0;
 	}
 
+	/** Returns the requests of a customer in flight at all routers, as far as they are known. */
+	public countAll(customer: string): number {
+		const usage = this.customers.get(customer);
+		return usage === undefined ? 0 : countInFlight(usage);
+	}
+
 	/** Lists the customers with requests in flight at this router. */
 	public listOwn(): readonly (readonly [customer: string, inFlight: number])[] {
 		return [...this.customers].filter(([, { own }]) => own > 0).map(([customer, { own }]) => [customer, own]);
--- a/packages/gateway/src/common/cacheAwarePlacement.ts
+++ b/packages/gateway/src/common/cacheAwarePlacement.ts
@@ -5,6 +5,7 @@
  * overflow and be prefilled on engine after engine.
  */
 import { hashPair } from '@papayawell/core';
+import type { StepRecorder } from './placementTrace.js';
 import type { PromptChain } from './promptChain.js';
 import { countTokens } from './promptChain.js';
 import type { TargetState } from './targetState.js';
@@ -62,6 +63,8 @@
 	readonly objectiveMs: number;
 	/** Availability zone whose engines are preferred, so that requests and answers do not cross; undefined if all are alike. */
 	readonly preferredZone?: string | undefined;
+	/** Told which engines are left after each step. */
+	readonly recordStep?: StepRecorder | undefined;
 }
 
 export interface CacheChoice {
@@ -133,14 +136,16 @@
 
 function chooseCandidate(
 	candidates: readonly Candidate[],
-	{ prompt: chain, objectiveMs, preferredZone }: CacheRequest,
+	{ prompt: chain, objectiveMs, preferredZone, recordStep }: CacheRequest,
 ): Omit<CacheChoice, 'cacheSource'> | undefined {
 	const withinLoadLimit = candidates.filter(({ isWithinLoadLimit }) => isWithinLoadLimit);
+	recordStep?.('withinLoadLimit', listTargets(withinLoadLimit));
 	if (withinLoadLimit.length === 0) {
 		return findLowest(candidates, ({ load }) => load);
 	}
 	const prefillLimit = computePrefillLimit(withinLoadLimit, objectiveMs);
 	const withinObjective = withinLoadLimit.filter(({ prefillTokens }) => prefillTokens <= prefillLimit);
+	recordStep?.('withinObjective', listTargets(withinObjective));
 	const cached = findMostCached(withinObjective);
 	const missingTokens = countSharedTokens(chain) - cached.cachedTokens;
 	const faster = listFaster(withinObjective, cached);
@@ -238,6 +243,10 @@
 	return equal.length === 0 ? undefined : findMostCached(equal);
 }
 
+function listTargets(candidates: readonly Candidate[]): readonly TargetState[] {
+	return candidates.map(({ target }) => target);
+}
+
 /** Returns the candidate with the most cached tokens; among equals the one with the lowest load. */
 function findMostCached(candidates: readonly Candidate[]): Candidate {
 	return candidates.reduce((best, candidate) => {
--- a/packages/gateway/src/common/peerRoutes.ts
+++ b/packages/gateway/src/common/peerRoutes.ts
@@ -12,11 +12,15 @@
 
 	constructor(private readonly ownZone: string) {}
 
-	/** @param peers instances that serve and reach the targets */
+	/**
+	 * @param peers instances that serve and reach the targets
+	 * @param random returns random numbers in [0, 1)
+	 */
 	public choose(
 		peers: readonly FleetInstance[],
 		excluded: ReadonlySet<string>,
 		nowMs: number,
+		random: () => number = Math.random,
 	): TargetState | undefined {
 		this.forgetOthers(peers);
 		let best: TargetState | undefined;
@@ -24,7 +28,7 @@
 		for (const peer of peers) {
 			const state = this.findState(peer);
 			const { health, ownRequests, record } = state;
-			const cost = ownRequests + (record.zone === this.ownZone ? 0 : CROSS_ZONE_COST) + Math.random();
+			const cost = ownRequests + (record.zone === this.ownZone ? 0 : CROSS_ZONE_COST) + random();
 			const isUsable =
 				!excluded.has(record.id) &&
 				ownRequests < MAX_REQUESTS_PER_PEER &&
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -5,6 +5,7 @@
 import { DemandRate, FairQueue, InFlightShareTracker } from '@papayawell/core';
 import type { CapacityUse, FleetView } from './capacityShare.js';
 import { SHORT_OCCUPANCY, computeAllowance, estimateOthers } from './capacityShare.js';
+import { copyState } from './copyState.js';
 import { RETURN_SHARE, ReturnSchedule } from './returnSchedule.js';
 import type { ServiceCapacity } from './serviceCapacity.js';
 import { ServiceTimes } from './serviceTimes.js';
@@ -51,6 +52,23 @@
 	| { readonly kind: 'wait'; readonly maxWaitMs: number }
 	| { readonly kind: 'refuse'; readonly reason: AdmissionRefusal; readonly returnDelayMs: number };
 
+/** What a decision relied on. */
+export interface AdmissionExplanation {
+	readonly decision: AdmissionDecision;
+	readonly isShort: boolean;
+	readonly capacity: ServiceCapacity;
+	readonly ownRequests: number;
+	readonly waiting: number;
+	/** Requests of this customer in flight at this instance. */
+	readonly customerRequests: number;
+	/** The same with those of the other instances, as far as they report them. */
+	readonly customerRequestsOfFleet: number;
+	/** Whether the customer uses no more than its share of the capacity. */
+	readonly isWithinShare: boolean;
+	/** Requests of this instance that there may be if one of this customer is sent; undefined while nothing is short. */
+	readonly limit: number | undefined;
+}
+
 export interface RefusedItem<T> {
 	readonly item: T;
 	readonly returnDelayMs: number;
@@ -109,10 +127,70 @@
 
 	/** Decides on a request that arrives. One that is sent counts until `recordEnd`. */
 	public offer(item: T, request: AdmissionRequest, nowMs: number): AdmissionDecision {
+		const isReturning = this.recordArrival(request, nowMs);
+		const decision = this.decide(item, request, isReturning, nowMs);
+		if (decision.kind === 'wait') {
+			const { customer, priority } = request;
+			const entry = { item: { item, request, isReturning }, customer, weight: 1, priority };
+			this.queue.enqueue({ ...entry, enqueuedAtMs: nowMs, maxWaitMs: decision.maxWaitMs });
+		}
+		return decision;
+	}
+
+	/**
+	 * Returns what `offer` would decide now. It decides on a copy of the state; the queue, which the decision only reads, is
+	 * not copied.
+	 * @param options stand-ins for what a real decision reads and draws
+	 */
+	public explain(
+		item: T,
+		request: AdmissionRequest,
+		options: Pick<ServiceAdmissionOptions<T>, 'readLoad' | 'readFleet' | 'random'>,
+		nowMs: number,
+	): AdmissionExplanation {
+		const copies = new Map<unknown, unknown>([
+			[this.queue, this.queue],
+			[this.options, { ...this.options, ...options }],
+		]);
+		const copy = copyState<ServiceAdmission<T>>(this, copies);
+		const isReturning = copy.recordArrival(request, nowMs);
+		const capacity = options.readLoad();
+		const before = copyState(copy, copies);
+		const isShort = before.checkShort(capacity, nowMs);
+		const { ownRequests, waiting } = copy;
+		const { customer } = request;
+		const customerRequests = copy.shares.countOwn(customer);
+		const customerRequestsOfFleet = copy.shares.countAll(customer);
+		const decision = copy.decide(item, request, isReturning, nowMs);
+		// A limit is rounded by the random number of the period, which the decision has drawn.
+		before.turn = copy.turn;
+		before.turnEndsAtMs = copy.turnEndsAtMs;
+		return {
+			decision,
+			isShort,
+			capacity,
+			ownRequests,
+			waiting,
+			customerRequests,
+			customerRequestsOfFleet,
+			isWithinShare: before.shares.computeCapacityShare(customer, 1) === 1,
+			limit: isShort ? before.computeLimit(customer, isReturning, capacity) : undefined,
+		};
+	}
+
+	/** Returns whether the caller of the request has probably been refused or failed before. */
+	private recordArrival(
+		{ objectiveMs, priority, remainingMs, route }: AdmissionRequest,
+		nowMs: number,
+	): boolean {
 		this.nowMs = nowMs;
-		const { customer, priority, route } = request;
-		const isReturning = this.times.recordArrival(route, request.objectiveMs, request.remainingMs);
+		const isReturning = this.times.recordArrival(route, objectiveMs, remainingMs);
 		this.getDemand(priority).note(1, nowMs);
+		return isReturning;
+	}
+
+	private decide(item: T, request: AdmissionRequest, isReturning: boolean, nowMs: number): AdmissionDecision {
+		const { customer, priority, route } = request;
 		const load = this.options.readLoad();
 		if (!this.checkShort(load, nowMs)) {
 			return this.send(customer);
@@ -129,9 +207,7 @@
 		if (this.estimateWait(limit, ahead, priority, load) > maxWaitMs || !this.options.canWait(item)) {
 			return this.refuse('capacityShort', request);
 		}
-		const entry = { item: { item, request, isReturning }, customer, weight: 1, priority };
-		const { kind } = this.queue.enqueue({ ...entry, enqueuedAtMs: nowMs, maxWaitMs });
-		return kind === 'queued' ? { kind: 'wait', maxWaitMs } : this.refuse('capacityShort', request);
+		return this.queue.isFull(customer) ? this.refuse('capacityShort', request) : { kind: 'wait', maxWaitMs };
 	}
 
 	/** Removes the next waiting request that may be sent now. It counts as sent until `recordEnd`. */
--- a/packages/gateway/src/common/targetChoice.ts
+++ b/packages/gateway/src/common/targetChoice.ts
@@ -42,16 +42,20 @@
 /**
  * @param meanLoad mean requests of all targets of the service
  * @param random returns random numbers in [0, 1)
+ * @param recordStep told which targets were drawn, and which of these are within the load limit
  */
 export function chooseByDrawnLoad<T>(
 	candidates: readonly ChoiceCandidate<T>[],
 	meanLoad: number,
 	random: () => number,
+	recordStep?: (step: 'drawn' | 'drawnWithinLimit', left: readonly T[]) => void,
 ): T | undefined {
 	const weights = candidates.map(({ estimate, slots, relativeTime, extraCost }) =>
 		Math.sqrt(slots / (relativeTime * estimate.slowdown * (1 + extraCost))),
 	);
 	const loadLimit = LOAD_LIMIT_FACTOR * meanLoad + LOAD_LIMIT_SLACK;
+	const drawnTargets: T[] = [];
+	const withinLimit: T[] = [];
 	let best: T | undefined;
 	let lowest = Infinity;
 	for (let drawn = 0; drawn < Math.min(DRAWN_TARGETS, candidates.length); drawn++) {
@@ -60,11 +64,19 @@
 		// No target is drawn twice: of few targets a slow one would often be the only choice.
 		weights[index] = 0;
 		const cost = candidate === undefined ? Infinity : computeCost(candidate, loadLimit, random);
+		if (recordStep !== undefined && candidate !== undefined) {
+			drawnTargets.push(candidate.target);
+			if (cost < OVER_LIMIT_COST) {
+				withinLimit.push(candidate.target);
+			}
+		}
 		if (cost < lowest) {
 			best = candidate?.target;
 			lowest = cost;
 		}
 	}
+	recordStep?.('drawn', drawnTargets);
+	recordStep?.('drawnWithinLimit', withinLimit);
 	return best;
 }
 
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -20,6 +20,9 @@
 /** Rate at which announced prompts are assumed to be prefilled; engines take 25 to 57 tokens in a ms. */
 const ANNOUNCED_TOKENS_PER_MS = 30;
 
+/** Why a target wants no request of this instance for some time. */
+export type PauseCause = 'backingOff' | 'requestLimit' | 'brittle' | 'cold';
+
 export class TargetState {
 	public readonly nameHash: number;
 	public readonly health = new TargetHealth();
@@ -114,13 +117,18 @@
 	 * any time or never.
 	 */
 	public computePause(nowMs: number): number {
-		return Math.max(
-			0,
-			this.backOffUntilMs - nowMs,
-			this.requestLimit.computeDelay(nowMs),
-			this.brittleness.computeDelay(this.ownRequests, nowMs),
-			this.coldness.computeDelay(nowMs),
-		);
+		const { backingOff, requestLimit, brittle, cold } = this.computePauses(nowMs);
+		return Math.max(0, backingOff, requestLimit, brittle, cold);
+	}
+
+	/** Returns the pause of each cause, in ms; 0 or less if the cause does not hold. */
+	public computePauses(nowMs: number): Readonly<Record<PauseCause, number>> {
+		return {
+			backingOff: this.backOffUntilMs - nowMs,
+			requestLimit: this.requestLimit.computeDelay(nowMs),
+			brittle: this.brittleness.computeDelay(this.ownRequests, nowMs),
+			cold: this.coldness.computeDelay(nowMs),
+		};
 	}
 
 	public recordActivity(nowMs: number): void {
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -1,7 +1,9 @@
 /** Holds the state of all known targets and chooses one for a request. */
 import { chooseByCachedPrefix } from './cacheAwarePlacement.js';
+import { copyState } from './copyState.js';
 import type { RegionLookup } from './homeRegions.js';
 import { isZoneIn } from './homeRegions.js';
+import type { StepRecorder } from './placementTrace.js';
 import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
 import { ServiceLoad } from './serviceLoad.js';
@@ -78,11 +80,15 @@
 	private pausedUntilMs = -Infinity;
 	private readonly serviceLoads = new Map<string, ServiceLoad>();
 
-	/** @param savesZoneTrafficAlways whether `savesZoneTraffic` holds in any case */
+	/**
+	 * @param savesZoneTrafficAlways whether `savesZoneTraffic` holds in any case
+	 * @param random returns random numbers in [0, 1)
+	 */
 	constructor(
 		private readonly ownZone: string,
 		private readonly findRegion: RegionLookup = () => undefined,
 		private readonly savesZoneTrafficAlways = false,
+		private readonly random: () => number = Math.random,
 	) {}
 
 	/**
@@ -101,6 +107,27 @@
 		return this.states.get(id);
 	}
 
+	/** Lists all targets of a service. */
+	public listMembers(service: string): readonly TargetState[] {
+		return this.byService.get(service) ?? [];
+	}
+
+	/**
+	 * Copies the table with the targets of one service only, so that a choice can be tried without a change here. Cached
+	 * prefixes, which a choice only reads, are not copied.
+	 */
+	public copyService(service: string, random: () => number): TargetTable {
+		const copies = new Map<unknown, unknown>([[this.random, random]]);
+		const members = this.listMembers(service);
+		for (const { prefixCache } of members) {
+			copies.set(prefixCache, prefixCache);
+		}
+		const copied = copyState(members, copies);
+		copies.set(this.byService, new Map([[service, copied]]));
+		copies.set(this.states, new Map(copied.map((target) => [target.record.id, target])));
+		return copyState<TargetTable>(this, copies);
+	}
+
 	/** Applies a change of the list of targets. The state of a target is retained until it restarts. */
 	public applyChange({ added, changed, removed }: TargetListChange): void {
 		for (const { id } of removed) {
@@ -220,28 +247,36 @@
 		return this.listStaying(service, version).length > 0;
 	}
 
-	public choose(request: PlacementRequest, nowMs: number): Placement | undefined {
+	/** @param recordStep told which targets are left after each step */
+	public choose(request: PlacementRequest, nowMs: number, recordStep?: StepRecorder): Placement | undefined {
 		if (nowMs < this.pausedUntilMs) {
+			recordStep?.('unpaused', []);
 			return undefined;
 		}
 		const all = this.listUsable(request);
+		recordStep?.('usable', all);
 		const serving = all.filter((target) => !target.record.isLeaving && target.computePause(nowMs) === 0);
+		recordStep?.('serving', serving);
 		const live = serving.filter((target) => isReachable(target, nowMs));
+		recordStep?.('reachable', live);
 		const healthy = selectHealthy(live, nowMs);
+		recordStep?.('healthy', healthy);
 		const candidates = healthy.filter((target) => isAllowed(target, request));
+		recordStep?.('allowed', candidates);
 		if (candidates.length === 0) {
 			return this.chooseLastResort(serving, request, nowMs);
 		}
 		const meanLoad = live.reduce((sum, target) => sum + target.estimateLoad(nowMs).requests, 0) / live.length;
 		if (request.prompt.length === 0) {
-			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
+			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs, recordStep);
 		}
 		// Cached prompts can still be fetched from a leaving target.
 		const sources = request.hasCacheTransfer ? all.filter((target) => isReachable(target, nowMs)) : [];
 		const preferredZone = this.savesZoneTraffic ? this.ownZone : undefined;
-		const choice = chooseByCachedPrefix(candidates, { ...request, preferredZone }, sources, meanLoad, nowMs);
+		const cacheRequest = { ...request, preferredZone, recordStep };
+		const choice = chooseByCachedPrefix(candidates, cacheRequest, sources, meanLoad, nowMs);
 		if (choice === undefined) {
-			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs);
+			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs, recordStep);
 		}
 		const { isOverflow, ...placed } = choice;
 		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
@@ -303,9 +338,11 @@
 		reason: PlacementReason,
 		meanLoad: number,
 		nowMs: number,
+		recordStep?: StepRecorder,
 	): Placement {
 		return {
-			target: this.findByReports(candidates, meanLoad, nowMs) ?? this.findLowestCost(candidates, nowMs),
+			target:
+				this.findByReports(candidates, meanLoad, nowMs, recordStep) ?? this.findLowestCost(candidates, nowMs),
 			reason,
 			meanLoad,
 			cachedTokens: 0,
@@ -318,6 +355,7 @@
 		candidates: readonly TargetState[],
 		meanLoad: number,
 		nowMs: number,
+		recordStep: StepRecorder | undefined,
 	): TargetState | undefined {
 		if (candidates[0]?.statedLoad.isInUse !== true) {
 			return undefined;
@@ -330,7 +368,7 @@
 			relativeTime: Math.max(1, target.computeSlowdown(fastestMs, nowMs) / MIN_SPEED_RATIO),
 			extraCost: target.record.zone === this.ownZone ? 0 : CROSS_ZONE_TIME,
 		}));
-		return chooseByDrawnLoad(choices, meanLoad, Math.random);
+		return chooseByDrawnLoad(choices, meanLoad, this.random, recordStep);
 	}
 
 	/** Finds the target with the lowest cost by load, response time and availability zone. */
@@ -341,7 +379,7 @@
 			const slowdown = target.computeSlowdown(fastestMs, nowMs);
 			return (
 				(target.load / target.record.slots + BASE_UTILIZATION + zoneCost / ZONE_COST_SLOTS) * slowdown +
-				Math.random() * RANDOM_COST
+				this.random() * RANDOM_COST
 			);
 		});
 	}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,12 @@
 export type { StoreRestore } from './common/storeEraTracker.js';
 export type { StorePosition } from './common/storePosition.js';
 export type { FleetInstance } from './common/peerState.js';
+export type {
+	CandidateExplanation,
+	ExplainResult,
+	RequestExplanation,
+	RequestQuestion,
+} from './common/requestExplanation.js';
 export { RELAY_HEADERS } from './common/relayHeaders.js';
 export type { TargetRecord } from './common/targetRecord.js';
 export type { ListedColdness, ListedTargets } from './common/targetView.js';
--- a/packages/gateway/src/node/admissionControl.ts
+++ b/packages/gateway/src/node/admissionControl.ts
@@ -8,7 +8,7 @@
 import type { ServiceDefinition } from '../common/gatewayConfiguration.js';
 import type { PeerState } from '../common/peerState.js';
 import type { RefusalReason } from '../common/refusal.js';
-import type { AdmissionRequest, CapacityReport } from '../common/serviceAdmission.js';
+import type { AdmissionExplanation, AdmissionRequest, CapacityReport } from '../common/serviceAdmission.js';
 import { ServiceAdmission } from '../common/serviceAdmission.js';
 import type { ServiceCapacity } from '../common/serviceCapacity.js';
 import { estimateServiceCapacity } from '../common/serviceCapacity.js';
@@ -129,7 +129,7 @@
 	public offer(ticket: AdmissionTicket): void {
 		const { input } = ticket;
 		const service = this.getService(input.service);
-		service.tokensPerRequest += TOKENS_WEIGHT * (input.tokens - service.tokensPerRequest);
+		service.tokensPerRequest = computeMeanTokens(service.tokensPerRequest, input.tokens);
 		const decision = service.admission.offer(ticket, input, performance.now());
 		switch (decision.kind) {
 			case 'send':
@@ -148,6 +148,31 @@
 		}
 	}
 
+	/**
+	 * Returns what would be decided on a request now, without a change of any state.
+	 * @param targets copy of the targets of the service, since estimates of their load are kept for some time
+	 */
+	public explain(
+		input: AdmissionInput,
+		targets: TargetTable,
+		random: () => number,
+		nowMs: number,
+	): AdmissionExplanation {
+		const { service: name } = input;
+		const service = this.services.get(name) ?? this.makeService(name);
+		const tokensPerRequest = computeMeanTokens(service.tokensPerRequest, input.tokens);
+		const ticket = new AdmissionTicket(this, input, {
+			onAdmitted: () => undefined,
+			onRefused: () => undefined,
+		});
+		const options = {
+			readLoad: () => this.estimateLoad(name, nowMs, targets, tokensPerRequest),
+			readFleet: () => this.fleets.get(name) ?? this.buildFleet(name),
+			random,
+		};
+		return service.admission.explain(ticket, input, options, nowMs);
+	}
+
 	/** Called when a request waits no longer, for whatever reason. */
 	public recordWaited({ input }: AdmissionTicket): void {
 		this.waitingBytes -= input.bodyBytes;
@@ -204,25 +229,32 @@
 	private getService(name: string): Service {
 		let service = this.services.get(name);
 		if (service === undefined) {
-			const admission = new ServiceAdmission<AdmissionTicket>({
-				random: Math.random,
-				readLoad: () => this.estimateLoad(name),
-				readFleet: () => this.readFleet(name),
-				canWait: ({ input }) =>
-					this.waiting < MAX_WAITING && this.waitingBytes + input.bodyBytes <= MAX_WAITING_BYTES,
-			});
-			service = { admission, tokensPerRequest: 0, wasShort: false };
+			service = this.makeService(name);
 			this.services.set(name, service);
 		}
 		return service;
 	}
 
-	private estimateLoad(name: string): ServiceCapacity {
+	private makeService(name: string): Service {
+		const admission = new ServiceAdmission<AdmissionTicket>({
+			random: Math.random,
+			readLoad: () => this.estimateLoad(name, performance.now()),
+			readFleet: () => this.readFleet(name),
+			canWait: ({ input }) =>
+				this.waiting < MAX_WAITING && this.waitingBytes + input.bodyBytes <= MAX_WAITING_BYTES,
+		});
+		return { admission, tokensPerRequest: 0, wasShort: false };
+	}
+
+	private estimateLoad(
+		name: string,
+		nowMs: number,
+		targets = this.parts.targets,
+		tokensPerRequest = this.getService(name).tokensPerRequest,
+	): ServiceCapacity {
 		const capacityTokens = this.parts.findService(name)?.kvCacheTokens;
-		const tokensPerRequest = this.getService(name).tokensPerRequest;
-		const nowMs = performance.now();
 		return estimateServiceCapacity(
-			this.parts.targets.listReachable(name, nowMs),
+			targets.listReachable(name, nowMs),
 			capacityTokens === undefined ? undefined : { capacityTokens, tokensPerRequest },
 			nowMs,
 		);
@@ -231,27 +263,31 @@
 	private readFleet(name: string): FleetView {
 		let fleet = this.fleets.get(name);
 		if (fleet === undefined) {
-			const peers = this.parts.listPeers();
-			const known = peers.length === 0 ? this.parts.countInstances() : peers.length + 1;
-			const startMs = peers.length === 0 ? ISOLATED_START_MS : START_MS;
-			const isNew = performance.now() - this.startedAtMs < startMs;
-			fleet = {
-				instances: isNew ? Math.max(known, this.parts.seeds + 1) : known,
-				heard: peers.length,
-				demands: listReports(peers, name).map(([demand]) => demand),
-			};
+			fleet = this.buildFleet(name);
 			this.fleets.set(name, fleet);
 		}
 		return fleet;
 	}
 
+	private buildFleet(name: string): FleetView {
+		const peers = this.parts.listPeers();
+		const known = peers.length === 0 ? this.parts.countInstances() : peers.length + 1;
+		const startMs = peers.length === 0 ? ISOLATED_START_MS : START_MS;
+		const isNew = performance.now() - this.startedAtMs < startMs;
+		return {
+			instances: isNew ? Math.max(known, this.parts.seeds + 1) : known,
+			heard: peers.length,
+			demands: listReports(peers, name).map(([demand]) => demand),
+		};
+	}
+
 	private logChange(name: string, service: Service, nowMs: number): void {
 		const isShort = service.admission.isShortLately(nowMs);
 		if (isShort === service.wasShort) {
 			return;
 		}
 		service.wasShort = isShort;
-		const { concurrency, otherRequests } = this.estimateLoad(name);
+		const { concurrency, otherRequests } = this.estimateLoad(name, nowMs);
 		const { instances, heard } = this.readFleet(name);
 		this.parts.log.write('state', isShort ? 'capacityShort' : 'capacityRegained', {
 			service: name,
@@ -337,6 +373,11 @@
 	}
 }
 
+/** Returns the moving average of the tokens that a request needs, with one more request. */
+function computeMeanTokens(average: number, tokens: number): number {
+	return average + TOKENS_WEIGHT * (tokens - average);
+}
+
 function listReports(peers: readonly PeerState[], service: string): readonly CapacityReport[] {
 	return peers.map(({ capacityUse }) => capacityUse?.[service]).filter((report) => report !== undefined);
 }
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -1,4 +1,5 @@
 /** Tracks which requests crash targets, by their content and by the parts of their prompts, here and at the peers. */
+import { copyState } from '../common/copyState.js';
 import type { AttemptEnd, TargetIncarnation, TrackedAttempt } from '@papayawell/core';
 import { SuspectTracker } from '@papayawell/core';
 import type { EventLog } from '../common/eventLog.js';
@@ -79,7 +80,7 @@
 	public check({ fingerprint, promptParts }: RequestTraits, nowMs: number): CrashRisk {
 		const risk = this.prompts.admit(promptParts, nowMs, this.parts.countInstances(), Math.random());
 		if (risk.kind === 'blocked') {
-			return { kind: 'refuse', detail: `targets died in a row when they answered prompts with ${risk.part}` };
+			return { kind: 'refuse', detail: describeBlocked(risk.part) };
 		}
 		const status = this.suspects.check(fingerprint, nowMs);
 		switch (status.kind) {
@@ -94,6 +95,12 @@
 		}
 	}
 
+	/** Explains why a prompt with these parts would be refused, without the start of a trial; undefined if it would not. */
+	public explainPrompt(promptParts: readonly string[], random: number, nowMs: number): string | undefined {
+		const risk = copyState(this.prompts).admit(promptParts, nowMs, this.parts.countInstances(), random);
+		return risk.kind === 'blocked' ? describeBlocked(risk.part) : undefined;
+	}
+
 	/** Whether a request whose connection broke before its answer began is likely to crash a further target. */
 	public isRepeatRisky({ traits, answerBeganMs }: TargetRun, nowMs: number): boolean {
 		const risk = this.prompts.check(traits.promptParts, nowMs);
@@ -204,3 +211,7 @@
 		this.suspects.noteTargetDied(target, nowMs);
 	}
 }
+
+function describeBlocked(part: string): string {
+	return `targets died in a row when they answered prompts with ${part}`;
+}
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -5,7 +5,6 @@
 import type { PromptChain } from '../common/promptChain.js';
 import { buildPromptChain, countTokens } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
-import { computeReturnDelay } from '../common/returnDelay.js';
 import type { ResponseHead } from '../common/responseParser.js';
 import { parseBackOff } from '../common/targetBackOff.js';
 import type { TargetState } from '../common/targetState.js';
@@ -16,7 +15,7 @@
 import type { CallerResponse } from './callerResponse.js';
 import type { TargetRun } from './crashTracker.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
-import { ExchangePlacement } from './exchangePlacement.js';
+import { ExchangePlacement, computePriority } from './exchangePlacement.js';
 import { ExchangeReport } from './exchangeReport.js';
 import type { RequestProgress } from './outgoingHeaders.js';
 import { buildOutgoingHeaders } from './outgoingHeaders.js';
@@ -25,8 +24,6 @@
 
 /** No further attempt is sent if less than this is left before the deadline. */
 const MIN_ATTEMPT_MS = 30;
-/** Least urgent priority that targets accept. */
-const LEAST_URGENT_PRIORITY = 9;
 /** Further time in which an instance to which a request is relayed may send nothing, since it tries targets itself. */
 const RELAY_MARGIN_MS = 1000;
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
@@ -462,13 +459,8 @@
 			this.refuse('targetFailed', detail);
 			return;
 		}
-		const pauseMs = this.placement.computePause(performance.now());
-		if (pauseMs > 0) {
-			const returnDelayMs = computeReturnDelay(pauseMs, this.priority, Math.random());
-			this.refuse('targetsBackingOff', detail, returnDelayMs);
-			return;
-		}
-		this.refuse(reason, detail);
+		const refusal = this.placement.buildRefusal(reason, detail, performance.now());
+		this.refuse(refusal.reason, detail, refusal.returnDelayMs);
 	}
 
 	/** Refuses the request. `detail` is part of the response body, so its texts, also those of attempts, stay stable. */
@@ -480,8 +472,7 @@
 
 	/** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
 	private get priority(): number {
-		const { customer, route } = this.input;
-		return Math.min(LEAST_URGENT_PRIORITY, customer?.priority ?? route.priority);
+		return computePriority(this.input);
 	}
 
 	private handleTimeout(): void {
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -55,10 +55,26 @@
 	readonly findStreamOrigin: (attemptId: string | undefined, service: string) => Promise<OriginLookup>;
 	/** Makes known to the fleet what began a stream, before the caller gets its first event. */
 	readonly recordStreamOrigin: (attemptId: string, origin: StreamOrigin) => void;
+	/** Returns a random number in [0, 1). */
+	readonly random: () => number;
 	/** Time since the store confirmed the target list, in ms. */
 	readonly readTargetsAge: () => number;
 }
 
+/** What the placement of a request needs; an explanation passes in copies. */
+export type PlacementParts = Pick<
+	ExchangeParts,
+	| 'choosePeer'
+	| 'findStreamOrigin'
+	| 'hasCacheTransfer'
+	| 'hasLostPath'
+	| 'random'
+	| 'recordPathFailure'
+	| 'recordStreamOrigin'
+> & { readonly targets: Pick<TargetTable, 'choose' | 'computePause' | 'hasVersion' | 'isServiceEvacuated'> };
+
+export type PlacementInput = Pick<ExchangeInput, 'customer' | 'relayed' | 'request' | 'route'>;
+
 export interface ExchangeInput {
 	readonly request: GatewayRequest;
 	readonly route: Route;
--- a/packages/gateway/src/node/exchangePlacement.ts
+++ b/packages/gateway/src/node/exchangePlacement.ts
@@ -3,16 +3,31 @@
 import { computeAllowedRegions } from '../common/homeRegions.js';
 import type { PromptChain } from '../common/promptChain.js';
 import type { RefusalReason } from '../common/refusal.js';
+import { computeReturnDelay } from '../common/returnDelay.js';
 import { pickService } from '../common/routeTable.js';
 import type { StreamOrigin } from '../common/streamOrigins.js';
 import type { Placement } from '../common/targetTable.js';
-import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
+import type { PlacementInput, PlacementParts } from './exchangeParts.js';
 import type { RunningAttempt } from './runningAttempt.js';
 import type { OriginLookup } from './streamOriginSync.js';
 
+/** Least urgent priority that targets accept. */
+const LEAST_URGENT_PRIORITY = 9;
 /** Limit of the instances to which one request is relayed, one after the other. */
 const MAX_RELAYS = 3;
 
+export interface PlacementRefusal {
+	readonly reason: RefusalReason;
+	readonly detail: string;
+	/** Time after which a retry can succeed, in ms; undefined if it is not known. */
+	readonly returnDelayMs: number | undefined;
+}
+
+/** Returns the priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
+export function computePriority({ customer, route }: Pick<PlacementInput, 'customer' | 'route'>): number {
+	return Math.min(LEAST_URGENT_PRIORITY, customer?.priority ?? route.priority);
+}
+
 export class ExchangePlacement {
 	private pickedService: string;
 	/** Version at which the stream has to go on; undefined while any may serve. */
@@ -26,13 +41,13 @@
 	private readonly regions: ReadonlySet<string> | undefined;
 
 	constructor(
-		private readonly parts: ExchangeParts,
-		private readonly input: ExchangeInput,
+		private readonly parts: PlacementParts,
+		private readonly input: PlacementInput,
 		private readonly prompt: PromptChain,
 		private readonly history: AttemptHistory,
 	) {
 		this.regions = computeAllowedRegions(input.route.homeRegions, input.customer?.homeRegions);
-		this.pickedService = pickService(input.route.services, Math.random()) ?? '';
+		this.pickedService = pickService(input.route.services, parts.random()) ?? '';
 	}
 
 	public get service(): string {
@@ -104,9 +119,14 @@
 			: { reason: 'noTarget', detail: `service ${service} has no target that takes work` };
 	}
 
-	/** Returns the time until a target may take the request, in ms; 0 if one does or none is known that will. */
-	public computePause(nowMs: number): number {
-		return this.parts.targets.computePause(this.service, this.version, nowMs, this.regions);
+	/** Builds the refusal of a request that was sent nowhere; it names the end of the pauses if targets asked for some. */
+	public buildRefusal(reason: RefusalReason, detail: string, nowMs: number): PlacementRefusal {
+		const pauseMs = this.parts.targets.computePause(this.service, this.version, nowMs, this.regions);
+		if (pauseMs === 0) {
+			return { reason, detail, returnDelayMs: undefined };
+		}
+		const returnDelayMs = computeReturnDelay(pauseMs, computePriority(this.input), this.parts.random());
+		return { reason: 'targetsBackingOff', detail, returnDelayMs };
 	}
 
 	public recordSend({ reason }: Placement): void {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -15,6 +15,7 @@
 import { decodePeerMessage, encodePeerMessage } from '../common/peerMessage.js';
 import { PlacementAnnouncer } from '../common/placementAnnouncer.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
+import type { ExplainResult, RequestQuestion } from '../common/requestExplanation.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
 import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
@@ -23,6 +24,7 @@
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
 import { TargetView } from '../common/targetView.js';
+import { copyState } from '../common/copyState.js';
 import { AdmissionControl } from './admissionControl.js';
 import { BlockedPromptsSync } from './blockedPromptsSync.js';
 import { BrittlenessSync } from './brittlenessSync.js';
@@ -37,6 +39,7 @@
 import { PeerExchange } from './peerExchange.js';
 import { PromptCacheSync } from './promptCacheSync.js';
 import { RequestLimitSync } from './requestLimitSync.js';
+import { RequestExplainer } from './requestExplainer.js';
 import { Shutdown } from './shutdown.js';
 import { StreamOriginSync } from './streamOriginSync.js';
 import { TargetClient } from './targetClient.js';
@@ -103,6 +106,8 @@
 	listEntryAddresses(caller?: DirectoryCaller): readonly string[];
 	/** Starts the graceful shutdown. */
 	drain(): void;
+	/** Explains where a request would go now. Nothing is sent, and no state changes. */
+	explain(question: RequestQuestion): ExplainResult;
 }
 
 /** Starts a gateway. Rejects when an address can't be bound. */
@@ -145,6 +150,9 @@
 	private readonly placementAnnouncer: PlacementAnnouncer;
 	private readonly catchUp: StartupCatchUp;
 	private wasServing = false;
+	/** When the active configuration was adopted. */
+	private configurationAdoptedAtMs = performance.now();
+	private readonly explainer: RequestExplainer;
 
 	constructor(private readonly dependencies: GatewayDependencies) {
 		const { settings, store, codec, log } = dependencies;
@@ -341,6 +349,7 @@
 				recordStreamOrigin: (attemptId, origin) => {
 					this.streamOriginSync.record(attemptId, origin);
 				},
+				random: Math.random,
 				readTargetsAge: () => this.view.computeAge(performance.now()),
 			},
 		});
@@ -445,6 +454,27 @@
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
+		this.explainer = new RequestExplainer({
+			targets: this.targets,
+			crashes: this.crashTracker,
+			admission: this.admission,
+			isDraining: () => this.shutdown.isStarted,
+			readSnapshot: () => (this.isServing() ? this.activeConfiguration.current : undefined),
+			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
+			hasCacheTransfer: (service) =>
+				this.activeConfiguration.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
+			hasLostPath: () => this.pathMonitor.isLost,
+			choosePeer: (excluded, regions, random) =>
+				this.choosePeer(excluded, regions, copyState(this.peerRoutes), random),
+			describeBeliefs: (nowMs) => ({
+				targetsAgeMs: this.view.computeAge(nowMs),
+				peers: this.membership.peers.listAll().length,
+				peersAgeMs: this.membership.computeMeanStateAge(nowMs),
+				oldestPeerAgeMs: Math.max(0, ...this.membership.peers.listWithAges(nowMs).map(({ ageMs }) => ageMs)),
+				configurationVersion: this.activeConfiguration.version,
+				configurationAgeMs: nowMs - this.configurationAdoptedAtMs,
+			}),
+		});
 		this.shutdown = new Shutdown({
 			server: this.server,
 			log,
@@ -470,6 +500,7 @@
 	public async start(): Promise<void> {
 		this.activeConfiguration.onDidAdopt(({ snapshot, previousVersion, source }) => {
 			const { configuration } = snapshot;
+			this.configurationAdoptedAtMs = performance.now();
 			this.server.setLimits(configuration.limits);
 			this.coldTargetSync.handleConfiguration();
 			this.dependencies.log.write('state', 'configurationAdopted', {
@@ -542,6 +573,10 @@
 		this.shutdown.start();
 	}
 
+	public explain(question: RequestQuestion): ExplainResult {
+		return this.explainer.explain(question, performance.now());
+	}
+
 	public dispose(): void {
 		this.disposables.dispose();
 	}
@@ -702,6 +737,8 @@
 	private choosePeer(
 		excluded: ReadonlySet<string>,
 		regions: ReadonlySet<string> | undefined,
+		routes = this.peerRoutes,
+		random = Math.random,
 	): TargetState | undefined {
 		const nowMs = performance.now();
 		const allowed =
@@ -710,7 +747,7 @@
 			.listServingWithPath(nowMs)
 			.map(({ instance }) => instance)
 			.filter(({ zone }) => isZoneIn(zone, allowed, this.findRegion));
-		return this.peerRoutes.choose(peers, excluded, nowMs);
+		return routes.choose(peers, excluded, nowMs, random);
 	}
 
 	private acquireRetry(service: string): boolean {
