Tell the customer's share in papayawell where, and describe the command for operators

The answer named whether a customer is above its share, not how large the share is; syntax errors of the command ended with 1, which means that the instance does not answer; the candidates of an instance that relays requests had no reason.

--- a/packages/cli/src/common/whereAnswer.ts
+++ b/packages/cli/src/common/whereAnswer.ts
@@ -43,6 +43,7 @@
 	customerRequests: z.number(),
 	customerRequestsOfFleet: z.number(),
 	isWithinShare: z.boolean(),
+	customerShare: z.number().optional(),
 });
 
 const WHERE_ANSWER = z.object({
@@ -98,13 +99,23 @@
 	return lines.join('\n');
 }
 
+/** The gateway's reasons for a choice, in words. */
+const REASONS: Readonly<Record<string, string>> = {
+	cached: 'it has the most of the prompt cached, or the hash of the prefix selects it',
+	overflow: 'targets with more of the prompt cached are at their load limits',
+	leastLoaded: 'it has the lowest cost by load, speed and zone',
+	lastResort: 'no healthy target is left, and this one may have recovered',
+	relay: 'an instance, since this one reaches no target itself',
+};
+
 const HEADINGS = ['target', 'zone', 'load', 'figure from', 'speed', 'cached', 'why'];
 
 function formatDecision({ decision }: WhereAnswer): string {
 	switch (decision.kind) {
 		case 'sent': {
 			const source = decision.cacheSource === undefined ? '' : `, which fetches from ${decision.cacheSource}`;
-			return `SENT to ${decision.target} (${decision.reason}, ${decision.cachedTokens} tokens cached${source}).`;
+			const reason = REASONS[decision.reason] ?? decision.reason;
+			return `SENT to ${decision.target}: ${reason} (${decision.cachedTokens} tokens cached${source}).`;
 		}
 		case 'waiting':
 			return `WAITING here for up to ${Math.round(decision.maxWaitMs)} ms until the service has room.`;
@@ -116,6 +127,9 @@
 	}
 }
 
+/** Verdicts that are no reason for which a target is passed over. */
+const VERDICTS: Readonly<Record<string, string>> = { chosen: 'CHOSEN' };
+
 function formatCandidate(candidate: Candidate, { beliefs, decision }: WhereAnswer): readonly string[] {
 	const { load, deviation, slots, reportAgeMs, slowdown, timeToHeadMs, verdict, detail } = candidate;
 	const spread = deviation === 0 ? '' : ` ± ${deviation.toFixed(1)}`;
@@ -127,9 +141,11 @@
 		candidate.zone,
 		`${load.toFixed(1)}${spread} of ${slots}`,
 		reportAgeMs === undefined ? gossip : `report, ${formatAge(reportAgeMs)} old`,
-		`x${slowdown.toFixed(2)} time${head}`,
+		`${slowdown === 1 ? 'usual' : `work takes x${slowdown.toFixed(2)}`}${head}`,
 		String(candidate.cachedTokens),
-		isSent ? `${verdict}: ${detail}` : 'would be chosen if the request were sent now',
+		isSent
+			? `${VERDICTS[verdict] ?? 'passed over'}: ${detail}`
+			: 'would be chosen if the request were sent now',
 	];
 }
 
@@ -142,7 +158,9 @@
 	if (!capacity.isShort) {
 		return [`Capacity is not short: ${use}.`, ''];
 	}
-	const share = capacity.isWithinShare ? 'within its share' : 'ABOVE its share';
+	const size =
+		capacity.customerShare === undefined ? '' : ` of ${capacity.customerShare.toFixed(1)} requests`;
+	const share = `${capacity.isWithinShare ? 'within' : 'ABOVE'} its share${size}`;
 	return [
 		`Capacity is SHORT: ${use}; this instance may have ${(limit ?? 0).toFixed(1)}.`,
 		`Customer ${customer ?? '(none)'} is ${share}: ${capacity.customerRequests} requests here, ${capacity.customerRequestsOfFleet} in the fleet.`,
--- a/packages/cli/src/node/commands/where.ts
+++ b/packages/cli/src/node/commands/where.ts
@@ -5,7 +5,7 @@
 
 const TIMEOUT_MS = 5000;
 const EXIT_UNREACHABLE = 1;
-const EXIT_BAD_INPUT = 2;
+export const EXIT_BAD_INPUT = 2;
 const HTTP_OK = 200;
 const HTTP_BAD_REQUEST = 400;
 
--- a/packages/cli/src/node/main.ts
+++ b/packages/cli/src/node/main.ts
@@ -22,7 +22,7 @@
 } from './commands/standIn.js';
 import { ReplayCommand } from './commands/replay.js';
 import { TraceGenerateCommand } from './commands/traceGenerate.js';
-import { WhereCommand } from './commands/where.js';
+import { EXIT_BAD_INPUT, WhereCommand } from './commands/where.js';
 
 const cli = new Cli({ binaryLabel: 'papayawell', binaryName: 'papayawell', binaryVersion: '0.1.0' });
 cli.register(Builtins.HelpCommand);
@@ -54,4 +54,16 @@
 cli.register(TraceGenerateCommand);
 cli.register(WhereCommand);
 
-await cli.runExit(process.argv.slice(2));
+const words = process.argv.slice(2);
+const exitCode = await cli.run(words);
+// Errors of syntax end with 1, which of this command means that the instance does not answer.
+process.exitCode = words[0] === 'where' && !hasValidSyntax() ? EXIT_BAD_INPUT : exitCode;
+
+function hasValidSyntax(): boolean {
+	try {
+		cli.process(words);
+		return true;
+	} catch {
+		return false;
+	}
+}
--- a/packages/cli/test/node/where.test.ts
+++ b/packages/cli/test/node/where.test.ts
@@ -1,7 +1,9 @@
+import { spawnSync } from 'node:child_process';
 import type { Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { PassThrough } from 'node:stream';
+import { fileURLToPath } from 'node:url';
 import { expect } from 'chai';
 import { Cli } from 'clipanion';
 import { WhereCommand } from '../../src/node/commands/where.js';
@@ -30,6 +32,7 @@
 		customerRequests: 40,
 		customerRequestsOfFleet: 55,
 		isWithinShare: false,
+		customerShare: 32.5,
 	},
 	candidates: [
 		{ ...CANDIDATE, target: 'i-1', reportAgeMs: 120, verdict: 'chosen', detail: 'the best candidate now' },
@@ -93,9 +96,9 @@
 		expect(urls).to.deep.equal(['/explain?route=chat&customer=acme&prompt=a%3A5&bytes=9']);
 		for (const text of [
 			'SENT to i-1',
-			'leaving: it is leaving',
+			'passed over: it is leaving',
 			'4.1 ± 1.3 of 64',
-			'ABOVE its share',
+			'ABOVE its share of 32.5',
 			'2.5 s ago',
 		]) {
 			expect(output).to.contain(text);
@@ -113,6 +116,8 @@
 		expect(unknown.output).to.contain('no route chat');
 		answer = { status: 200, body: { foo: 1 } };
 		expect(await run('--metrics', address, '--route', 'chat')).to.include({ exitCode: 1 });
+		const program = fileURLToPath(new URL('../../../bin/papayawell.js', import.meta.url));
+		expect(spawnSync(process.execPath, [program, 'where', '--unknown']).status).to.equal(2);
 		server.close();
 		server.closeAllConnections();
 		const lost = await run('--metrics', address, '--route', 'chat');
--- a/packages/core/src/common/fairness/inFlightShareTracker.ts
+++ b/packages/core/src/common/fairness/inFlightShareTracker.ts
@@ -98,11 +98,20 @@
 		if (usage === undefined || this.customers.size === 1) {
 			return 1;
 		}
+		return (countInFlight(usage) + 1) / weight <= this.readFairLevel() ? 1 : 1 - this.headroomShare;
+	}
+
+	/** Returns the requests in flight up to which a customer of weight 1 is within its share; undefined with one customer. */
+	public computeShare(): number | undefined {
+		return this.customers.size <= 1 ? undefined : this.readFairLevel();
+	}
+
+	private readFairLevel(): number {
 		if (this.changesSinceLevel > this.totalInFlight * RECOMPUTE_THRESHOLD) {
 			this.fairLevel = this.computeFairLevel();
 			this.changesSinceLevel = 0;
 		}
-		return (countInFlight(usage) + 1) / weight <= this.fairLevel ? 1 : 1 - this.headroomShare;
+		return this.fairLevel;
 	}
 
 	/** Computes the common level to which the largest usages have to be lowered to free the headroom. */
--- a/packages/gateway/src/common/requestExplanation.ts
+++ b/packages/gateway/src/common/requestExplanation.ts
@@ -46,6 +46,8 @@
 	| 'region'
 	| 'excluded'
 	| 'paused'
+	/** This instance reaches no target itself, and relays the request. */
+	| 'relayed'
 	| 'notBest';
 
 export interface CandidateExplanation {
@@ -79,6 +81,8 @@
 	readonly customerRequests: number;
 	readonly customerRequestsOfFleet: number;
 	readonly isWithinShare: boolean;
+	/** Requests of the fleet up to which a customer is within its share; undefined if there is only one. */
+	readonly customerShare: number | undefined;
 }
 
 /** How old what the decision relies on is. */
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -65,6 +65,8 @@
 	readonly customerRequestsOfFleet: number;
 	/** Whether the customer uses no more than its share of the capacity. */
 	readonly isWithinShare: boolean;
+	/** Requests of the fleet up to which a customer is within its share; undefined if there is only one. */
+	readonly customerShare: number | undefined;
 	/** Requests of this instance that there may be if one of this customer is sent; undefined while nothing is short. */
 	readonly limit: number | undefined;
 }
@@ -174,6 +176,7 @@
 			customerRequests,
 			customerRequestsOfFleet,
 			isWithinShare: before.shares.computeCapacityShare(customer, 1) === 1,
+			customerShare: before.shares.computeShare(),
 			limit: isShort ? before.computeLimit(customer, isReturning, capacity) : undefined,
 		};
 	}
--- a/packages/gateway/src/node/requestExplainer.ts
+++ b/packages/gateway/src/node/requestExplainer.ts
@@ -20,6 +20,7 @@
 	RequestExplanation,
 	RequestQuestion,
 } from '../common/requestExplanation.js';
+import type { Verdict } from '../common/requestExplanation.js';
 import { explainVerdict } from '../common/requestExplanation.js';
 import type { AdmissionExplanation } from '../common/serviceAdmission.js';
 import type { TargetState } from '../common/targetState.js';
@@ -165,9 +166,7 @@
 			service,
 			decision: early ?? this.describeDecision(admission, placement),
 			capacity: admission && describeCapacity(admission),
-			candidates: members
-				.slice(0, MAX_CANDIDATES)
-				.map((target) => this.explainCandidate(target, placement?.target === target)),
+			candidates: members.slice(0, MAX_CANDIDATES).map((target) => this.explainCandidate(target, placement)),
 			omittedCandidates: Math.max(0, members.length - MAX_CANDIDATES),
 			beliefs: this.parts.describeBeliefs(nowMs),
 		};
@@ -223,7 +222,7 @@
 		};
 	}
 
-	private explainCandidate(target: TargetState, isChosen: boolean): CandidateExplanation {
+	private explainCandidate(target: TargetState, placement: Placement | undefined): CandidateExplanation {
 		const { nowMs } = this;
 		const { record, statedLoad } = target;
 		const { requests, deviation, slowdown } = target.estimateLoad(nowMs);
@@ -239,16 +238,23 @@
 			slowdown,
 			timeToHeadMs: target.timeToHeadMs,
 			cachedTokens: target.prefixCache.countCachedTokens(this.prompt),
-			...explainVerdict(target, {
-				step: this.trace.findLastStep(target),
-				isChosen,
-				isEvacuated: this.targets.isEvacuated(target),
-				// A question is a first attempt, which begins its stream.
-				version: undefined,
-				nowMs,
-			}),
+			...this.explainChoice(target, placement),
 		};
 	}
+
+	private explainChoice(target: TargetState, placement: Placement | undefined): Verdict {
+		if (placement?.reason === 'relay') {
+			return { verdict: 'relayed', detail: 'this instance reaches no target itself, and relays the request' };
+		}
+		return explainVerdict(target, {
+			step: this.trace.findLastStep(target),
+			isChosen: placement?.target === target,
+			isEvacuated: this.targets.isEvacuated(target),
+			// A question is a first attempt, which begins its stream.
+			version: undefined,
+			nowMs: this.nowMs,
+		});
+	}
 }
 
 function refuse(reason: RefusalReason, detail: string): ExplainedDecision {
