--- a/packages/gateway/test/node/requestExplainer.test.ts
+++ b/packages/gateway/test/node/requestExplainer.test.ts
@@ -1,6 +1,7 @@
 import { inspect } from 'node:util';
 import { expect } from 'chai';
 import type { RequestExplanation, RequestQuestion } from '../../src/common/requestExplanation.js';
+import { TargetState } from '../../src/common/targetState.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import type { AdmissionInput } from '../../src/node/admissionControl.js';
 import { AdmissionControl } from '../../src/node/admissionControl.js';
@@ -20,9 +21,11 @@
 	let admission: AdmissionControl;
 	let explainer: RequestExplainer;
 	let decisions: string[];
+	let hasLostPath: boolean;
 
 	beforeEach(() => {
 		decisions = [];
+		hasLostPath = false;
 		targets = new TargetTable('a');
 		targets.applyChange({ added: [makeRecord('one', { slots: 4 })], changed: [], removed: [] });
 		admission = new AdmissionControl({
@@ -48,8 +51,8 @@
 			readSnapshot: () => ({ configuration }),
 			isStoreUnreachable: () => false,
 			hasCacheTransfer: () => false,
-			hasLostPath: () => false,
-			choosePeer: () => undefined,
+			hasLostPath: () => hasLostPath,
+			choosePeer: () => new TargetState(makeRecord('peer')),
 			describeBeliefs: () => ({
 				targetsAgeMs: 0,
 				peers: 0,
@@ -144,6 +147,15 @@
 		expect(ask().decision).to.include({ kind: 'refused', reason: 'noTarget' });
 	});
 
+	// Guards against a choice among targets that this instance does not reach.
+	it('names the instance to which a request is relayed while no target can be reached', () => {
+		hasLostPath = true;
+		const { candidates, capacity, decision } = ask();
+		expect(decision).to.include({ kind: 'sent', target: 'peer', reason: 'relay' });
+		expect(candidates.map(({ verdict }) => verdict)).to.deep.equal(['relayed']);
+		expect(capacity).to.equal(undefined);
+	});
+
 	it('reports unknown routes and customers', () => {
 		expect(explainer.explain({ ...QUESTION, route: 'other' }, 0).kind).to.equal('unknownRoute');
 		expect(explainer.explain({ ...QUESTION, customer: 'secret-key' }, 0).kind).to.equal('unknownCustomer');
