Explain also that an instance has no memory for a body

A body for which the budget of memory has no room is refused before its size is compared with the limit of the configuration; an explanation has the same order.

Measured: the tests of the explainer, of /explain and of the command pass.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -466,6 +466,7 @@
 			hasLostPath: () => this.pathMonitor.isLost,
 			choosePeer: (excluded, regions, random) =>
 				this.choosePeer(excluded, regions, copyState(this.peerRoutes), random),
+			hasMemoryFor: (bytes) => this.memory?.hasRoomFor(bytes) !== false,
 			describeBeliefs: (nowMs) => ({
 				targetsAgeMs: this.view.computeAge(nowMs),
 				peers: this.membership.peers.listAll().length,
--- a/packages/gateway/src/node/requestExplainer.ts
+++ b/packages/gateway/src/node/requestExplainer.ts
@@ -43,6 +43,8 @@
 	readonly isStoreUnreachable: () => boolean;
 	readonly hasCacheTransfer: (service: string) => boolean;
 	readonly hasLostPath: () => boolean;
+	/** Whether this instance has memory for a body of this size. */
+	readonly hasMemoryFor: (bytes: number) => boolean;
 	/** Chooses an instance to relay to on a copy of what is known of them. */
 	readonly choosePeer: (
 		excluded: ReadonlySet<string>,
@@ -98,6 +100,9 @@
 		if (!isPublic && customer === undefined) {
 			return refuse('unknownKey', `route ${name} requires an API key: name a customer`);
 		}
+		if (!this.parts.hasMemoryFor(bodyBytes)) {
+			return refuse('memoryShort', 'this instance holds as much for callers as it may');
+		}
 		if (bodyBytes > maxBodyBytes) {
 			return refuse('bodyTooLarge', `the limit is ${maxBodyBytes} bytes`);
 		}
--- a/packages/gateway/test/node/requestExplainer.test.ts
+++ b/packages/gateway/test/node/requestExplainer.test.ts
@@ -52,6 +52,7 @@
 			isStoreUnreachable: () => false,
 			hasCacheTransfer: () => false,
 			hasLostPath: () => hasLostPath,
+			hasMemoryFor: (bytes) => bytes !== 600_000,
 			choosePeer: () => new TargetState(makeRecord('peer')),
 			describeBeliefs: () => ({
 				targetsAgeMs: 0,
@@ -131,6 +132,7 @@
 		const early: readonly [Partial<RequestQuestion>, string][] = [
 			[{ customer: undefined }, 'unknownKey'],
 			[{ bodyBytes: 2_000_000 }, 'bodyTooLarge'],
+			[{ bodyBytes: 600_000 }, 'memoryShort'],
 			[{ prompt: [{ id: 'crashing', tokens: 5 }, ...QUESTION.prompt] }, 'crashingRequest'],
 		];
 		for (const [changes, reason] of early) {
