Tell all instances that a target is cold when it first states so

Cause: contact with a target that was unreachable already makes it cold here, so that its statement was taken for known and the others heard of its return by gossip only. Change: all instances are told unless the target has stated to any instance that it is cold. Result: the new test got no message before. 339 tests pass: packages/gateway/test/common, ColdTargetSync, the model of cold targets, and those of cold and brittle targets through gateways.

--- a/packages/gateway/src/common/targetColdness.ts
+++ b/packages/gateway/src/common/targetColdness.ts
@@ -41,6 +41,8 @@
 	private coldStart: ColdStart | undefined;
 	private statedUntilMs = -Infinity;
 	private isStatedToSelf = false;
+	/** Whether the stated time is one that the target stated, to this instance or to another. */
+	private isStated = false;
 	/** When the target was last assumed to be cold without a statement. */
 	private assumedAtMs = -Infinity;
 	private cause: ColdnessCause = 'listed';
@@ -94,6 +96,7 @@
 		this.assumedAtMs = -Infinity;
 		this.statedUntilMs = nowMs + Math.min(MAX_STATED_MS, leftMs);
 		this.isStatedToSelf = leftMs > 0;
+		this.isStated = leftMs > 0;
 	}
 
 	/**
@@ -105,15 +108,20 @@
 		if (leftMs > 0) {
 			this.statedUntilMs = Math.max(this.statedUntilMs, nowMs + Math.min(MAX_STATED_MS, leftMs));
 			this.isStatedToSelf = true;
+			this.isStated = true;
 		}
 	}
 
-	/** Records how long the target stays cold as a peer knows it. It only extends what is known here. */
-	public adopt(leftMs: number, nowMs: number): void {
+	/**
+	 * Records how long the target stays cold as a peer knows it. It only extends what is known here.
+	 * @param isStated whether the target stated it to the peer
+	 */
+	public adopt(leftMs: number, nowMs: number, isStated: boolean): void {
 		const untilMs = nowMs + Math.min(MAX_STATED_MS, leftMs);
 		if (untilMs > this.statedUntilMs) {
 			this.statedUntilMs = untilMs;
 			this.isStatedToSelf = false;
+			this.isStated = isStated;
 		}
 	}
 
@@ -153,7 +161,7 @@
 		if (this.unreachableAtMs !== undefined) {
 			this.unreachableAtMs = undefined;
 			this.isFoundUnreachable = false;
-			this.adopt(leftMs, nowMs);
+			this.adopt(leftMs, nowMs, false);
 		}
 	}
 
@@ -199,6 +207,11 @@
 		return this.isRegained && this.computeRemaining(nowMs) > 0;
 	}
 
+	/** Whether the target is cold now as it, or its entry, stated to any instance, so that all were told. */
+	public isKnownStatedCold(nowMs: number): boolean {
+		return this.isStated && this.statedUntilMs > nowMs;
+	}
+
 	/** Whether the target itself, or its entry, stated to this instance that it is cold now. */
 	public isStatedCold(nowMs: number): boolean {
 		return this.isStatedToSelf && this.coldStart !== undefined && this.statedUntilMs > nowMs;
--- a/packages/gateway/src/node/coldTargetSync.ts
+++ b/packages/gateway/src/node/coldTargetSync.ts
@@ -150,9 +150,10 @@
 				}
 				return;
 			case 'time': {
-				const wasCold = target.coldness.computeRemaining(nowMs) > 0;
+				// A target that is only assumed to be cold here may be taken for warm by the others.
+				const wasStated = target.coldness.isKnownStatedCold(nowMs);
 				target.coldness.recordStatement(statement.leftMs, nowMs);
-				if (statement.leftMs > 0 && !wasCold) {
+				if (statement.leftMs > 0 && !wasStated) {
 					this.announceCold(target, statement.leftMs);
 				}
 				return;
@@ -213,7 +214,7 @@
 		}
 		// A later start than the one that is listed here runs at the same address already.
 		if (startedAtMs > target.record.startedAtMs) {
-			target.coldness.adopt(leftMs, nowMs);
+			target.coldness.adopt(leftMs, nowMs, source === ColdnessSource.Stated);
 			return;
 		}
 		if (startedAtMs < target.record.startedAtMs) {
@@ -223,7 +224,7 @@
 			case ColdnessSource.Assumed:
 				return;
 			case ColdnessSource.Stated:
-				target.coldness.adopt(leftMs, nowMs);
+				target.coldness.adopt(leftMs, nowMs, true);
 				return;
 			case ColdnessSource.Regained:
 				target.coldness.adoptRegained(leftMs, nowMs);
@@ -237,7 +238,7 @@
 		for (const { record, coldness } of this.parts.targets.all) {
 			if (coldness.isFromFirstList) {
 				coldness.clearListedAssumption();
-				coldness.adopt(leftById.get(record.id) ?? 0, nowMs);
+				coldness.adopt(leftById.get(record.id) ?? 0, nowMs, false);
 			}
 		}
 	}
--- a/packages/gateway/test/common/targetColdness.test.ts
+++ b/packages/gateway/test/common/targetColdness.test.ts
@@ -50,7 +50,7 @@
 
 	it('an answer that states that the target is warm ends what was assumed or stated', () => {
 		coldness.recordAssumption('regained', 0);
-		coldness.adopt(9000, 0);
+		coldness.adopt(9000, 0, true);
 		coldness.recordStatement(0, 100);
 		expect(coldness.computeRemaining(100)).to.equal(0);
 	});
--- a/packages/gateway/test/node/coldTargetSync.test.ts
+++ b/packages/gateway/test/node/coldTargetSync.test.ts
@@ -139,6 +139,23 @@
 		expect(readRemaining('x', 0)).to.equal(700);
 	});
 
+	// Guards against a return of which the others hear by gossip only, since the contact already made it cold here.
+	it('tells all instances when a target that was reached again states that it is cold, unless another has', () => {
+		const sync = createSync({ isFirstStart: true });
+		list(sync, ['x', 'y'], 0);
+		sync.adoptMessage({ kind: 'cold', target: 'y', startedAtMs: 1, leftMs: 2900 }, 1000);
+		for (const id of ['x', 'y']) {
+			const target = targets.find(id);
+			target?.coldness.recordUnreachable(0);
+			target?.recordActivity(1000);
+			if (target !== undefined) {
+				sync.recordStatement(target, '2800', 1000);
+				sync.recordStatement(target, '2700', 1100);
+			}
+		}
+		expect(sent).to.deep.equal([{ kind: 'cold', target: 'x', startedAtMs: 1, leftMs: 2800 }]);
+	});
+
 	it('uses cold targets up to its share, then others, and refuses with the time until a request may be sent', () => {
 		const sync = createSync({ isFirstStart: true });
 		list(sync, ['x', 'y'], 0);
