Keep the order of waiting priorities over calls that place nothing

Change: FairQueue.placeNext stops after one placement, and restores order and deficits if there was none; drain, which the router uses, is as before.

--- a/packages/core/src/common/fairness/deficitRoundRobin.ts
+++ b/packages/core/src/common/fairness/deficitRoundRobin.ts
@@ -16,6 +16,12 @@
 	readonly items: { readonly item: T; readonly cost: number }[];
 }
 
+/** Order and deficits of the flows with items at one time. */
+export interface RoundState<T> {
+	readonly flows: readonly Flow<T>[];
+	readonly deficits: readonly number[];
+}
+
 export class DeficitRoundRobin<T> {
 	private readonly flows = new Map<string, Flow<T>>();
 	/** Flows with items; the first one has its turn. */
@@ -69,6 +75,19 @@
 		return first.item;
 	}
 
+	/** Copies the order and the deficits, for `restoreRound`. */
+	public copyRound(): RoundState<T> {
+		return { flows: [...this.activeFlows], deficits: this.activeFlows.map(({ deficit }) => deficit) };
+	}
+
+	/** Undoes the changes of `peek` since `round` was copied; no item may have been added or removed meanwhile. */
+	public restoreRound({ flows, deficits }: RoundState<T>): void {
+		this.activeFlows = [...flows];
+		flows.forEach((flow, index) => {
+			flow.deficit = deficits[index] ?? 0;
+		});
+	}
+
 	/** Removes and returns the items that `test` accepts; within a flow `test` sees them in queue order. */
 	public removeWhere(test: (item: T) => boolean): T[] {
 		const removed: T[] = [];
--- a/packages/core/src/common/fairness/fairQueue.ts
+++ b/packages/core/src/common/fairness/fairQueue.ts
@@ -45,6 +45,12 @@
 	/** The request did not run; the caller may retry after `retryAfterMs`. */
 	| { readonly kind: 'refused'; readonly retryAfterMs: number };
 
+/** Keys that are passed over until the end of a call. */
+interface SkippedKeys {
+	readonly customers: Set<string>;
+	readonly priorities: Set<string>;
+}
+
 export class FairQueue<T> {
 	private readonly queuesByPriority = new Map<number, DeficitRoundRobin<QueueEntry<T>>>();
 	private readonly priorities = new DeficitRoundRobin<number>();
@@ -109,24 +115,32 @@
 	 * customer is skipped for the rest of this call. Returns the number of requests placed.
 	 */
 	public drain(tryPlace: (entry: QueueEntry<T>) => boolean, nowMs: number): number {
-		const skippedCustomers = new Set<string>();
-		const skippedPriorities = new Set<string>();
+		const skipped: SkippedKeys = { customers: new Set(), priorities: new Set() };
 		let placed = 0;
-		for (;;) {
-			const priority = this.priorities.peek(skippedPriorities);
-			if (priority === undefined) {
-				return placed;
-			}
-			const entry = this.getPriorityQueue(priority).peek(skippedCustomers);
-			if (entry === undefined) {
-				skippedPriorities.add(String(priority));
-			} else if (tryPlace(entry)) {
-				this.takeNext(priority, skippedCustomers, skippedPriorities, nowMs);
-				placed += 1;
-			} else {
-				skippedCustomers.add(entry.customer);
-			}
+		while (this.placeOne(tryPlace, skipped, nowMs)) {
+			placed += 1;
 		}
+		return placed;
+	}
+
+	/**
+	 * Offers requests to `tryPlace` in fair order until it places one; returns whether it did. If it places none, the next
+	 * call offers them in the same order: rejected offers would otherwise give the next turn to the priority offered last.
+	 */
+	public placeNext(tryPlace: (entry: QueueEntry<T>) => boolean, nowMs: number): boolean {
+		const priorities = this.priorities.copyRound();
+		const customers = [...this.queuesByPriority.values()].map((queue) => ({
+			queue,
+			round: queue.copyRound(),
+		}));
+		if (this.placeOne(tryPlace, { customers: new Set(), priorities: new Set() }, nowMs)) {
+			return true;
+		}
+		this.priorities.restoreRound(priorities);
+		for (const { queue, round } of customers) {
+			queue.restoreRound(round);
+		}
+		return false;
 	}
 
 	/** Removes and returns the requests that were queued for the maximum time. */
@@ -161,6 +175,29 @@
 		return Math.min(maxWaitMs, waitMs);
 	}
 
+	/** Places the next request that `tryPlace` accepts; adds the customers and priorities passed over to `skipped`. */
+	private placeOne(
+		tryPlace: (entry: QueueEntry<T>) => boolean,
+		skipped: SkippedKeys,
+		nowMs: number,
+	): boolean {
+		for (;;) {
+			const priority = this.priorities.peek(skipped.priorities);
+			if (priority === undefined) {
+				return false;
+			}
+			const entry = this.getPriorityQueue(priority).peek(skipped.customers);
+			if (entry === undefined) {
+				skipped.priorities.add(String(priority));
+			} else if (tryPlace(entry)) {
+				this.takeNext(priority, skipped, nowMs);
+				return true;
+			} else {
+				skipped.customers.add(entry.customer);
+			}
+		}
+	}
+
 	/** Whether a new request is expected to time out in the queue. */
 	private isExpectedToTimeOut(entry: QueueEntry<T>): boolean {
 		const intervalMs = this.departuresByCustomer.get(entry.customer)?.intervalMs;
@@ -174,14 +211,9 @@
 		return Math.min(this.options.maxWaitMs, maxWaitMs ?? Infinity);
 	}
 
-	private takeNext(
-		priority: number,
-		skippedCustomers: ReadonlySet<string>,
-		skippedPriorities: ReadonlySet<string>,
-		nowMs: number,
-	): void {
-		this.priorities.take(skippedPriorities);
-		const entry = this.getPriorityQueue(priority).take(skippedCustomers);
+	private takeNext(priority: number, skipped: SkippedKeys, nowMs: number): void {
+		this.priorities.take(skipped.priorities);
+		const entry = this.getPriorityQueue(priority).take(skipped.customers);
 		if (entry === undefined) {
 			return;
 		}
--- a/packages/core/test/common/fairness/fairQueue.test.ts
+++ b/packages/core/test/common/fairness/fairQueue.test.ts
@@ -40,6 +40,19 @@
 		expect(takeUpTo(queue, 2)).to.include('small');
 	});
 
+	it('keeps the order of priorities over calls that place nothing: else the less urgent one gets all turns', () => {
+		const queue = new FairQueue<string>(OPTIONS);
+		fill(queue, 150, makeEntry('urgent'));
+		fill(queue, 150, makeEntry('other', { priority: 1 }));
+		const taken: string[] = [];
+		for (let round = 0; round < 90; round++) {
+			queue.placeNext(() => false, 0);
+			queue.placeNext(({ item }) => taken.push(item) > 0, 0);
+		}
+		expect(taken).to.have.length(90);
+		expect(countOf(taken, 'other')).to.be.within(9, 11);
+	});
+
 	it('serves customers in proportion to their weights, to within one round', () => {
 		const weights = fc.array(fc.integer({ min: 1, max: 5 }), { minLength: 2, maxLength: 6 });
 		fc.assert(
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -222,10 +222,7 @@
 		const load = this.options.readLoad();
 		const isShort = this.checkShort(load, nowMs);
 		let ready: T | undefined;
-		this.queue.drain(({ item, customer }) => {
-			if (ready !== undefined) {
-				return false;
-			}
+		this.queue.placeNext(({ item, customer }) => {
 			const limit = isShort ? this.computeLimit(customer, item.isReturning, load) : Infinity;
 			if (this.ownRequests + 1 > limit) {
 				return false;
