--- a/packages/core/src/common/fairness/fairQueue.ts
+++ b/packages/core/src/common/fairness/fairQueue.ts
@@ -17,8 +17,9 @@
 	/** Maximum time in the queue, in ms. */
 	readonly maxWaitMs: number;
 	/**
-	 * Returns the share of a priority in the demand, in (0, 1]. The share of each priority is then in proportion to its demand as well, so that a
-	 * lower one with few requests is not served more often than a higher one with many. Equal for all if absent.
+	 * Returns the share of a priority in the demand, in (0, 1]. The share of each priority is then in proportion to its
+	 * demand as well, so that a lower one with few requests is not served more often than a higher one with many. Equal for
+	 * all if absent.
 	 */
 	readonly readDemandShare?: (priority: number) => number;
 	/**
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -25,8 +25,10 @@
 const MIN_PRIORITY_RATE_SHARE = 0.1;
 /** Peers are told of the use for this long after the capacity was short, so that the shares do not jump. */
 const SHORT_RETENTION_MS = 2000;
-/** Length of the periods in which fractions of requests are rounded up or down, in mean times of a request. A request that
- * waits sees several of them. */
+/**
+ * Length of the periods in which fractions of requests are rounded up or down, in mean times of a request. A request that
+ * waits sees several of them.
+ */
 const TURN_SERVICE_TIMES = 0.25;
 const MAX_WAITING = 500;
 /** No customer may fill the queue. */
--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -113,8 +113,8 @@
 
 	/**
 	 * Returns the time for which the target wants no request of this instance, in ms: until its back-off is over, its limit
-	 * allows for a request, it may have room if it is brittle, and this instance has a share left if it is cold. 0 if it takes requests, infinity if that may change at
-	 * any time or never.
+	 * allows for a request, it may have room if it is brittle, and this instance has a share left if it is cold. 0 if it
+	 * takes requests, infinity if that may change at any time or never.
 	 */
 	public computePause(nowMs: number): number {
 		const { backingOff, requestLimit, brittle, cold } = this.computePauses(nowMs);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -364,7 +364,7 @@
 			onDidContactPeers: () => {
 				this.handlePeersContacted();
 			},
-			onPeerState: (state, _, ageMs) => {
+			onPeerState: (state, _previous, ageMs) => {
 				this.peerExchange.handlePeerState(state, ageMs);
 				this.checkServing(performance.now());
 			},
