Count idle targets of evacuated zones, and cold ones, in the mean load

The load limit of 1.7 x mean + 2.5 used the mean of the targets in use; with a zone of three evacuated that mean is half as high again as that of the service. Change: targets that get nothing because they are cold or evacuated count in the mean.

--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -266,7 +266,9 @@
 		if (candidates.length === 0) {
 			return this.chooseLastResort(serving, request, nowMs);
 		}
-		const meanLoad = live.reduce((sum, target) => sum + target.estimateLoad(nowMs).requests, 0) / live.length;
+		const counted = [...live, ...this.listIdle(request.service, nowMs)];
+		const meanLoad =
+			counted.reduce((sum, target) => sum + target.estimateLoad(nowMs).requests, 0) / counted.length;
 		if (request.prompt.length === 0) {
 			return this.chooseLowestCost(candidates, 'leastLoaded', meanLoad, nowMs, recordStep);
 		}
@@ -282,6 +284,17 @@
 		return { ...placed, reason: isOverflow ? 'overflow' : 'cached', meanLoad };
 	}
 
+	/**
+	 * Lists targets that get no requests because their zone is evacuated or they are cold. They count in the mean load of the
+	 * service: without them the load limit of the others would exceed the bound of 2 x mean + 3.
+	 */
+	private listIdle(service: string, nowMs: number): readonly TargetState[] {
+		return this.listMembers(service).filter(
+			(target) =>
+				!target.record.isLeaving && (this.isEvacuated(target) || target.coldness.computeDelay(nowMs) > 0),
+		);
+	}
+
 	private getServiceLoad(service: string): ServiceLoad {
 		let load = this.serviceLoads.get(service);
 		if (load === undefined) {
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -24,6 +24,18 @@
 }
 
 describe('TargetTable', () => {
+	it('counts the idle targets of an evacuated zone in the mean load, to which the load limit refers', () => {
+		const table = new TargetTable('a');
+		const added = [makeRecord('x'), makeRecord('y', { zone: 'b' })];
+		table.applyChange({ added, changed: [], removed: [] });
+		const target = table.find('x');
+		if (target !== undefined) {
+			target.peerRequests = 6;
+		}
+		table.setEvacuatedZones(new Set(['b']));
+		expect(table.choose(REQUEST, 0)?.meanLoad).to.equal(3);
+	});
+
 	it('does not choose a leaving target', () => {
 		const table = makeTable('x', 'y');
 		table.applyChange({ added: [], changed: [makeRecord('x', { isLeaving: true })], removed: [] });
