Move decisions out of the gateway's wiring, and correct what the notes claim

Cause: read-through of the whole change. gateway.ts decided which instances callers are directed to and which get relayed requests; the decision to use more relays stood in the node layer; the lookup of a service stood six times, the loop over all peers twice; load reports took their period from direct gossip.

--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -5,7 +5,7 @@
 
 import type { EvacuationReport } from './evacuatedZones.js';
 import type { PartAnswerReport, PartDeathReport } from './promptCrashTracker.js';
-import type { CapacityReport } from './serviceAdmission.js';
+import type { CapacityReport } from './capacityReport.js';
 import type { TargetStart } from './targetStarts.js';
 
 export const PromptKnowledge = {
--- a/packages/gateway/src/common/requestExplanation.ts
+++ b/packages/gateway/src/common/requestExplanation.ts
@@ -3,7 +3,7 @@
 import type { PlacementStep } from './placementTrace.js';
 import type { RefusalReason } from './refusal.js';
 import type { PauseCause, TargetState } from './targetState.js';
-import type { PlacementReason } from './targetTable.js';
+import type { PlacementReason } from './placement.js';
 
 export interface RequestQuestion {
 	readonly route: string;
--- a/packages/gateway/src/common/serviceAdmission.ts
+++ b/packages/gateway/src/common/serviceAdmission.ts
@@ -3,6 +3,7 @@
  * capacity is short, it decides which request is sent now, waits here for a short while, or is refused.
  */
 import { DemandRate, FairQueue, InFlightShareTracker } from '@papayawell/core';
+import type { CapacityReport } from './capacityReport.js';
 import type { CapacityUse, FleetView } from './capacityShare.js';
 import { SHORT_OCCUPANCY, computeAllowance, estimateOthers } from './capacityShare.js';
 import { copyState } from './copyState.js';
@@ -78,9 +79,6 @@
 	readonly returnDelayMs: number;
 }
 
-/** Use of a service by one instance, as gossiped: its demand, then alternating customers and requests in flight. */
-export type CapacityReport = readonly [demand: number, ...use: (string | number)[]];
-
 interface Waiting<T> {
 	readonly item: T;
 	readonly request: AdmissionRequest;
@@ -427,20 +425,3 @@
 		),
 	);
 }
-
-/** Whether a value from a peer is its use by service. */
-export function isCapacityReportMap(value: unknown): value is Readonly<Record<string, CapacityReport>> {
-	return typeof value === 'object' && value !== null && Object.values(value).every(isCapacityReport);
-}
-
-function isCapacityReport(value: unknown): value is CapacityReport {
-	return (
-		Array.isArray(value) &&
-		value.length % 2 === 1 &&
-		value.every((entry, index) => (index % 2 === 1 ? typeof entry === 'string' : isCount(entry)))
-	);
-}
-
-function isCount(value: unknown): boolean {
-	return typeof value === 'number' && Number.isFinite(value) && value >= 0;
-}
--- a/packages/gateway/src/common/targetLoadEstimate.ts
+++ b/packages/gateway/src/common/targetLoadEstimate.ts
@@ -11,7 +11,7 @@
  * not at all after this time; a target that was avoided for it is then found again.
  */
 export const SLOWDOWN_VALID_MS = 600;
-/** Typical age of the loads that peers gossip: half of the interval between two messages of a peer at 77 instances. */
+/** Typical age of the loads that peers gossip: half of the interval between two messages of a peer at 77 instances without relays. */
 const PEER_LOAD_AGE_MS = 600;
 /** Time constant with which the usual load of a target turns into the mean of its service without a report. */
 const USUAL_LOAD_MS = 1000;
--- a/packages/gateway/src/common/targetTable.ts
+++ b/packages/gateway/src/common/targetTable.ts
@@ -3,8 +3,8 @@
 import { copyState } from './copyState.js';
 import type { RegionLookup } from './homeRegions.js';
 import { isZoneIn } from './homeRegions.js';
+import type { Placement, PlacementReason, PlacementRequest } from './placement.js';
 import type { StepRecorder } from './placementTrace.js';
-import type { PromptChain } from './promptChain.js';
 import type { TargetLoad } from './peerState.js';
 import { ServiceLoad } from './serviceLoad.js';
 import { chooseByDrawnLoad } from './targetChoice.js';
@@ -32,46 +32,6 @@
 const HIGH_FAILURE_RATIO = 1.5;
 const HIGH_FAILURE_MARGIN = 0.1;
 
-export interface PlacementRequest {
-	readonly service: string;
-	/** The prompt for which cached prefixes count; empty if the choice does not depend on caches. */
-	readonly prompt: PromptChain;
-	/** Latency objective: time to the response or its first event, in ms. */
-	readonly objectiveMs: number;
-	/** Whether cached prompts can be fetched from other targets. */
-	readonly hasCacheTransfer: boolean;
-	/** Targets that must not be chosen. */
-	readonly excluded: ReadonlySet<string>;
-	/** The only targets that may be chosen; undefined if the request may run on any. */
-	readonly allowed: ReadonlySet<string> | undefined;
-	/** Version of the software that the target must have; undefined if any may serve. */
-	readonly version: string | undefined;
-	/** Regions in which the request may reach targets; undefined if any. */
-	readonly regions?: ReadonlySet<string> | undefined;
-}
-
-export type PlacementReason =
-	/** The target has the most of the prompt cached, or was selected by the hash of its prefix. */
-	| 'cached'
-	/** A target with more of the prompt cached was passed over, for example at its load limit. */
-	| 'overflow'
-	| 'leastLoaded'
-	/** No healthy target was left; an unhealthy one may have recovered. */
-	| 'lastResort'
-	/** Another instance sends the request to a target, since this one reaches none. */
-	| 'relay';
-
-export interface Placement {
-	readonly target: TargetState;
-	readonly reason: PlacementReason;
-	/** Mean load of the targets of the service that can be reached. */
-	readonly meanLoad: number;
-	/** Tokens of the prompt that the target probably has cached. */
-	readonly cachedTokens: number;
-	/** Target from which to fetch more of the prompt's KV cache. */
-	readonly cacheSource: TargetState | undefined;
-}
-
 export class TargetTable {
 	private readonly states = new Map<string, TargetState>();
 	private readonly byService = new Map<string, TargetState[]>();
--- a/packages/gateway/src/common/zoneRelays.ts
+++ b/packages/gateway/src/common/zoneRelays.ts
@@ -8,11 +8,10 @@
 export const ROUND_RELAYS = 1;
 /** Relays for each zone of a state that is sent because something has changed, so that one may fail. */
 export const URGENT_RELAYS = 2;
-/**
- * Messages of its peers that an instance receives in one interval. Gossip is most of the processor time of an instance in
- * a large fleet: with 48, at 77 instances, it took half as much again as without relays.
- */
+/** Messages of its peers that an instance receives in one interval: at 77 instances about as many as with direct gossip. */
 const RECEIVED_PER_INTERVAL = 32;
+/** Silence of a peer, in intervals, from which on states go through more relays, since one may be lost. */
+const SUSPICIOUS_SILENCE_INTERVALS = 1.5;
 /** A peer that has been silent for longer is no relay while others are left: it may have been killed. */
 const MAX_RELAY_SILENCE_INTERVALS = 2.3;
 
@@ -54,10 +53,13 @@
 		this.round = Math.floor(seed * 1000);
 	}
 
-	/** @param count number of relays for each zone */
-	public plan(peers: readonly GossipPeer[], count: number): GossipPlan {
+	/** @param minCount number of relays for each zone, more while a peer is silent */
+	public plan(peers: readonly GossipPeer[], minCount: number): GossipPlan {
 		this.round += 1;
-		const maxSilenceMs = MAX_RELAY_SILENCE_INTERVALS * computeRelayedInterval(peers.length);
+		const intervalMs = computeRelayedInterval(peers.length);
+		const maxSilenceMs = MAX_RELAY_SILENCE_INTERVALS * intervalMs;
+		const hasSilentPeer = peers.some(({ ageMs }) => ageMs > SUSPICIOUS_SILENCE_INTERVALS * intervalMs);
+		const count = hasSilentPeer ? Math.max(minCount, URGENT_RELAYS) : minCount;
 		const direct: string[] = [];
 		const older: string[] = [];
 		const relays: string[] = [];
--- a/packages/gateway/src/node/admissionControl.ts
+++ b/packages/gateway/src/node/admissionControl.ts
@@ -3,12 +3,13 @@
  * have been sent nowhere, so that all of them may be refused at any time.
  */
 import type { Disposable } from '@papayawell/core';
+import type { CapacityReport } from '../common/capacityReport.js';
 import type { FleetView } from '../common/capacityShare.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { ServiceDefinition } from '../common/gatewayConfiguration.js';
 import type { PeerState } from '../common/peerState.js';
 import type { RefusalReason } from '../common/refusal.js';
-import type { AdmissionExplanation, AdmissionRequest, CapacityReport } from '../common/serviceAdmission.js';
+import type { AdmissionExplanation, AdmissionRequest } from '../common/serviceAdmission.js';
 import { ServiceAdmission } from '../common/serviceAdmission.js';
 import type { ServiceCapacity } from '../common/serviceCapacity.js';
 import { estimateServiceCapacity } from '../common/serviceCapacity.js';
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -8,7 +8,7 @@
 import type { ResponseHead } from '../common/responseParser.js';
 import { parseBackOff } from '../common/targetBackOff.js';
 import type { TargetState } from '../common/targetState.js';
-import type { Placement } from '../common/targetTable.js';
+import type { Placement } from '../common/placement.js';
 import type { AttemptFailure, AttemptResult } from './attemptResponse.js';
 import { AttemptResponse } from './attemptResponse.js';
 import type { AdmissionTicket } from './admissionControl.js';
--- a/packages/gateway/src/node/exchangePlacement.ts
+++ b/packages/gateway/src/node/exchangePlacement.ts
@@ -6,7 +6,7 @@
 import { computeReturnDelay } from '../common/returnDelay.js';
 import { pickService } from '../common/routeTable.js';
 import type { StreamOrigin } from '../common/streamOrigins.js';
-import type { Placement } from '../common/targetTable.js';
+import type { Placement } from '../common/placement.js';
 import type { PlacementInput, PlacementParts } from './exchangeParts.js';
 import type { RunningAttempt } from './runningAttempt.js';
 import type { OriginLookup } from './streamOriginSync.js';
--- a/packages/gateway/src/node/exchangeReport.ts
+++ b/packages/gateway/src/node/exchangeReport.ts
@@ -1,6 +1,6 @@
 /** Writes the log events and metrics of one request. */
 import type { AttemptHistory } from '../common/attemptHistory.js';
-import type { Placement } from '../common/targetTable.js';
+import type { Placement } from '../common/placement.js';
 import type { TargetState } from '../common/targetState.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
 
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -31,8 +31,6 @@
 const INITIAL_ADDRESS_GOSSIP_ROUNDS = 8;
 /** With relays, one round in this many goes to addresses that do not answer, which would get most of the bytes. */
 const UNKNOWN_ADDRESS_ROUNDS = 3;
-/** Silence of a peer, in intervals, from which on states go through more relays, since one may be lost. */
-const SUSPICIOUS_SILENCE_INTERVALS = 1.5;
 /** How long state is sent to an address that never answers. */
 const CANDIDATE_TTL_MS = 30_000;
 /** A state that was under way for longer is dropped; the peer would have been discarded by then. */
@@ -265,9 +263,7 @@
 			isServing: state.isServing,
 			ageMs,
 		}));
-		const maxSilenceMs = SUSPICIOUS_SILENCE_INTERVALS * computeRelayedInterval(peers.length);
-		const hasSilentPeer = peers.some(({ ageMs }) => ageMs > maxSilenceMs);
-		return this.relays.plan(peers, hasSilentPeer ? URGENT_RELAYS : relays);
+		return this.relays.plan(peers, relays);
 	}
 
 	private listRelayRecipients({ instance }: PeerState): readonly string[] {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -6,8 +6,9 @@
 import type { EngineCodec } from '../common/engineCodec.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { HeaderCodec } from '../common/gatewayRequest.js';
+import type { ServiceDefinition } from '../common/gatewayConfiguration.js';
 import type { DirectoryCaller, RegionLookup } from '../common/homeRegions.js';
-import { buildRegionLookup, isZoneIn, listInstanceRegions } from '../common/homeRegions.js';
+import { buildRegionLookup } from '../common/homeRegions.js';
 import { computeBudgetBytes, MemoryBudget } from '../common/memoryBudget.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { FleetInstance, PeerState } from '../common/peerState.js';
@@ -35,6 +36,7 @@
 import { EvacuationSync } from './evacuationSync.js';
 import { FleetMembership } from './fleetMembership.js';
 import { GatewayMetrics } from './gatewayMetrics.js';
+import { InstanceDirectory } from './instanceDirectory.js';
 import { LoadReportSync } from './loadReportSync.js';
 import { PeerExchange } from './peerExchange.js';
 import { PromptCacheSync } from './promptCacheSync.js';
@@ -152,6 +154,7 @@
 	private wasServing = false;
 	/** When the active configuration was adopted. */
 	private configurationAdoptedAtMs = performance.now();
+	private readonly directory: InstanceDirectory;
 	private readonly explainer: RequestExplainer;
 
 	constructor(private readonly dependencies: GatewayDependencies) {
@@ -259,7 +262,7 @@
 			ownName: settings.self.name,
 			bounds: settings.coldTargets,
 			isFirstStart: settings.isFirstStart,
-			getService: (service) => this.activeConfiguration.current?.configuration.services.get(service),
+			getService: (service) => this.findService(service),
 			listPeers: () => this.membership.peers.listAll(),
 			broadcast: (message) => {
 				this.sendToAll(message);
@@ -273,7 +276,7 @@
 			targets: this.targets,
 			view: this.view,
 			log,
-			countPeers: () => this.membership.peers.listAll().length,
+			computePeerInterval: () => this.membership.computePeerInterval(this.membership.peers.listAll().length),
 		});
 		this.streamOriginSync = new StreamOriginSync({
 			listPeers: () => this.membership.peers.listAll().map(({ instance }) => instance),
@@ -332,13 +335,13 @@
 				onConnectionBroken: (target, run) => {
 					void this.crashTracker.probeTarget(target, run);
 				},
-				hasCacheTransfer: (service) =>
-					this.activeConfiguration.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
+				hasCacheTransfer: (service) => this.findService(service)?.hasCacheTransfer ?? false,
 				hasLostPath: () => this.pathMonitor.isLost,
 				recordPathFailure: () => {
 					this.pathMonitor.recordFailure();
 				},
-				choosePeer: (excluded, regions) => this.choosePeer(excluded, regions),
+				choosePeer: (excluded, regions) =>
+					this.directory.choosePeer(this.peerRoutes, excluded, regions, performance.now(), Math.random),
 				self: settings.self,
 				recordPrompt: (target, prompt, cacheSource) => {
 					const nowMs = performance.now();
@@ -426,11 +429,7 @@
 			targets: this.targets,
 			broadcast: (message) => {
 				this.metrics.countDecision('placementAnnounced');
-				for (const { instance, acceptsPlacements } of this.membership.peers.listAll()) {
-					if (acceptsPlacements === true) {
-						this.membership.sendMessage(encodePeerMessage(message), instance.controlAddress);
-					}
-				}
+				this.sendToAll(message, ({ acceptsPlacements }) => acceptsPlacements === true);
 			},
 			adoptPrompt: (message) => {
 				this.promptCacheSync.adoptPrompts([message]);
@@ -454,6 +453,14 @@
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
 		});
+		this.directory = new InstanceDirectory({
+			self: settings.self,
+			activeConfiguration: this.activeConfiguration,
+			findRegion: this.findRegion,
+			listPeers: () => this.membership.peers,
+			isServing: () => this.isServing(),
+			hasLostPath: () => this.pathMonitor.isLost,
+		});
 		this.explainer = new RequestExplainer({
 			targets: this.targets,
 			crashes: this.crashTracker,
@@ -461,11 +468,10 @@
 			isDraining: () => this.shutdown.isStarted,
 			readSnapshot: () => (this.isServing() ? this.activeConfiguration.current : undefined),
 			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
-			hasCacheTransfer: (service) =>
-				this.activeConfiguration.current?.configuration.services.get(service)?.hasCacheTransfer ?? false,
+			hasCacheTransfer: (service) => this.findService(service)?.hasCacheTransfer ?? false,
 			hasLostPath: () => this.pathMonitor.isLost,
 			choosePeer: (excluded, regions, random) =>
-				this.choosePeer(excluded, regions, copyState(this.peerRoutes), random),
+				this.directory.choosePeer(copyState(this.peerRoutes), excluded, regions, performance.now(), random),
 			hasMemoryFor: (bytes) => this.memory?.hasRoomFor(bytes) !== false,
 			describeBeliefs: (nowMs) => ({
 				targetsAgeMs: this.view.computeAge(nowMs),
@@ -549,25 +555,7 @@
 	}
 
 	public listEntryAddresses(caller?: DirectoryCaller): readonly string[] {
-		const { peers } = this.membership;
-		const nowMs = performance.now();
-		const { self } = this.dependencies.settings;
-		const regions = this.listCallerRegions(caller);
-		const own = isZoneIn(self.zone, regions, this.findRegion) ? [self.callersAddress] : [];
-		const listAddresses = (states: readonly PeerState[]): readonly string[] =>
-			states
-				.filter(({ instance }) => isZoneIn(instance.zone, regions, this.findRegion))
-				.map(({ instance }) => instance.callersAddress);
-		const withPath = listAddresses(peers.listServingWithPath(nowMs));
-		if (this.isServing() && !this.pathMonitor.isLost && own.length + withPath.length > 0) {
-			return [...own, ...withPath];
-		}
-		if (withPath.length > 0) {
-			return withPath;
-		}
-		// No instance reaches the targets: each that serves may be the first whose path is back.
-		const serving = listAddresses(peers.listServing(nowMs));
-		return this.isServing() || serving.length === 0 ? [...own, ...serving] : serving;
+		return this.directory.listEntryAddresses(caller, performance.now());
 	}
 
 	public drain(): void {
@@ -679,7 +667,7 @@
 			countDecision: (event) => {
 				this.metrics.countDecision(event);
 			},
-			findService: (service) => this.activeConfiguration.current?.configuration.services.get(service),
+			findService: (service) => this.findService(service),
 			listPeers: () => this.membership.peers.listAll(),
 			countInstances: () => this.membership.peers.countInstances(performance.now()),
 			seeds,
@@ -695,10 +683,12 @@
 		});
 	}
 
+	private findService(service: string): ServiceDefinition | undefined {
+		return this.activeConfiguration.current?.configuration.services.get(service);
+	}
+
 	private getCacheCapacity(target: TargetState): number {
-		return (
-			this.activeConfiguration.current?.configuration.services.get(target.record.service)?.kvCacheTokens ?? 0
-		);
+		return this.findService(target.record.service)?.kvCacheTokens ?? 0;
 	}
 
 	private handleTargetChange(change: TargetListChange, source: TargetChangeSource): void {
@@ -716,48 +706,21 @@
 		this.checkServing(performance.now());
 	}
 
-	/** Sends a message to all other instances. */
-	private sendToAll(message: PeerMessage): void {
+	/** @param isRecipient whether a peer reads such messages; those of an older version may not */
+	private sendToAll(message: PeerMessage, isRecipient: (peer: PeerState) => boolean = () => true): void {
 		const bytes = encodePeerMessage(message);
-		for (const { instance } of this.membership.peers.listAll()) {
+		for (const { instance } of this.membership.peers.listAll().filter(isRecipient)) {
 			this.membership.sendMessage(bytes, instance.controlAddress);
 		}
 	}
 
-	/** Regions of the instances that a caller may be directed to; undefined if any. */
-	private listCallerRegions(caller: DirectoryCaller | undefined): ReadonlySet<string> | undefined {
-		const routes = this.activeConfiguration.current?.routes;
-		if (caller === undefined || routes === undefined) {
-			return undefined;
-		}
-		const { host, region, zone } = caller;
-		const callerRegion = region ?? (zone === undefined ? undefined : this.findRegion(zone));
-		return listInstanceRegions(routes.listHomeRegions(host), callerRegion);
-	}
-
-	private choosePeer(
-		excluded: ReadonlySet<string>,
-		regions: ReadonlySet<string> | undefined,
-		routes = this.peerRoutes,
-		random = Math.random,
-	): TargetState | undefined {
-		const nowMs = performance.now();
-		const allowed =
-			regions && listInstanceRegions([[...regions]], this.findRegion(this.dependencies.settings.self.zone));
-		const peers = this.membership.peers
-			.listServingWithPath(nowMs)
-			.map(({ instance }) => instance)
-			.filter(({ zone }) => isZoneIn(zone, allowed, this.findRegion));
-		return routes.choose(peers, excluded, nowMs, random);
-	}
-
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
 		return this.retries.tryAcquire(service, nowMs, this.membership.peers.countInstances(nowMs));
 	}
 
 	private computeConnectionLimit(service: string): number {
-		const definition = this.activeConfiguration.current?.configuration.services.get(service);
+		const definition = this.findService(service);
 		if (definition === undefined) {
 			return MIN_CONNECTIONS;
 		}
--- a/packages/gateway/src/node/loadReportSync.ts
+++ b/packages/gateway/src/node/loadReportSync.ts
@@ -1,6 +1,5 @@
 /** Keeps the loads that targets report, and gossips those of this instance that are newer than what peers sent. */
 import type { EventLog } from '../common/eventLog.js';
-import { computePeerInterval } from '../common/gossipInterval.js';
 import { decodeLoadReports, encodeLoadReports } from '../common/loadReportCodec.js';
 import type { PeerState } from '../common/peerState.js';
 import { SLOWDOWN_VALID_MS } from '../common/targetLoadEstimate.js';
@@ -14,7 +13,8 @@
 	readonly targets: TargetTable;
 	readonly view: Pick<TargetView, 'digest' | 'list'>;
 	readonly log: EventLog;
-	readonly countPeers: () => number;
+	/** Returns the time between two states that a peer gets from this instance, in ms. */
+	readonly computePeerInterval: () => number;
 }
 
 export class LoadReportSync {
@@ -60,7 +60,7 @@
 	 * to tell anything, and have not yet been in a message to each peer. Undefined if there are none.
 	 */
 	public listReports(nowMs: number): readonly number[] | undefined {
-		const peerIntervalMs = computePeerInterval(this.parts.countPeers());
+		const peerIntervalMs = this.parts.computePeerInterval();
 		const loads = [];
 		for (const { record, statedLoad } of this.parts.targets.all) {
 			const { report, service } = statedLoad;
--- a/packages/gateway/src/node/outgoingHeaders.ts
+++ b/packages/gateway/src/node/outgoingHeaders.ts
@@ -1,6 +1,6 @@
 /** Builds the headers with which a request is sent to a target or relayed to another instance. */
 import { buildRelayHeaders } from '../common/relayHeaders.js';
-import type { Placement } from '../common/targetTable.js';
+import type { Placement } from '../common/placement.js';
 import type { ExchangeInput, ExchangeParts } from './exchangeParts.js';
 
 /** What has become of a request so far. */
--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -7,7 +7,7 @@
 import type { PeerState } from '../common/peerState.js';
 import { ColdnessSource } from '../common/peerState.js';
 import { isPartAnswerReport, isPartDeathReport } from '../common/promptCrashTracker.js';
-import { isCapacityReportMap } from '../common/serviceAdmission.js';
+import { isCapacityReportMap } from '../common/capacityReport.js';
 
 /** Smaller states are sent as they are: they are few, and compression would cost more than it saves. */
 const MIN_COMPRESSED_BYTES = 1000;
--- a/packages/gateway/test/common/requestExplanation.test.ts
+++ b/packages/gateway/test/common/requestExplanation.test.ts
@@ -6,7 +6,7 @@
 import type { CandidateVerdict } from '../../src/common/requestExplanation.js';
 import { explainVerdict } from '../../src/common/requestExplanation.js';
 import type { TargetState } from '../../src/common/targetState.js';
-import type { PlacementRequest } from '../../src/common/targetTable.js';
+import type { PlacementRequest } from '../../src/common/placement.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import { makeRecord } from './fixtures.js';
 
--- a/packages/gateway/test/common/targetTable.test.ts
+++ b/packages/gateway/test/common/targetTable.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { PlacementRequest } from '../../src/common/targetTable.js';
+import type { PlacementRequest } from '../../src/common/placement.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import { makeRecord } from './fixtures.js';
 
--- a/packages/gateway/test/common/zoneRelays.test.ts
+++ b/packages/gateway/test/common/zoneRelays.test.ts
@@ -32,6 +32,11 @@
 		expect(new Set(plan.relays).size).to.equal(2);
 	});
 
+	it('a lost round is made up for: while a peer is silent, states go through two relays', () => {
+		const peers = [...makePeers('b', 5), ...makePeers('a', 1, { ageMs: 500 })];
+		expect(new Set(new ZoneRelays('a', 0).plan(peers, ROUND_RELAYS).relays).size).to.equal(2);
+	});
+
 	it('a killed relay is replaced: peers that are silent or drain are not used', () => {
 		const relays = new ZoneRelays('a', 0);
 		const [killed, draining, ...others] = makePeers('b', 6);
--- a/packages/gateway/test/model/capacityFleet.ts
+++ b/packages/gateway/test/model/capacityFleet.ts
@@ -5,7 +5,8 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { GOSSIP_FAN_OUT, GOSSIP_INTERVAL_MS } from '../../src/common/gossipInterval.js';
-import type { AdmissionRequest, CapacityReport } from '../../src/common/serviceAdmission.js';
+import type { CapacityReport } from '../../src/common/capacityReport.js';
+import type { AdmissionRequest } from '../../src/common/serviceAdmission.js';
 import { ServiceAdmission } from '../../src/common/serviceAdmission.js';
 
 /** Requests of one customer and priority. */
--- a/packages/gateway/test/model/fleetModel.ts
+++ b/packages/gateway/test/model/fleetModel.ts
@@ -11,7 +11,7 @@
 import type { TargetLoad } from '../../src/common/peerState.js';
 import { buildPromptChain, countTokens } from '../../src/common/promptChain.js';
 import { PlacementAnnouncer } from '../../src/common/placementAnnouncer.js';
-import type { Placement } from '../../src/common/targetTable.js';
+import type { Placement } from '../../src/common/placement.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import { PromptCacheSync } from '../../src/node/promptCacheSync.js';
 import { makeRecord } from '../common/fixtures.js';
