Read TROUBLE in each case, and name the folder of stand-ins as such

TROUBLE was read in a shared module only, and review/lib did not tell that it is no case.

Checks, bounds and disruptions of the cases are as before.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,9 +1,12 @@
 /** One byte of the head of some answers of one worker is wrong. */
-import { Client, isReady } from '../lib/client.mjs';
-import { findNetwork, makeFolder, makeMachines } from '../lib/fleet.mjs';
-import { HOST, KEY, buildManifest, putManifest, startStore } from '../lib/store.mjs';
-import { hasTrouble, runCase, sleep, waitUntil } from '../lib/test.mjs';
-import { Worker, buildHead, sendStream } from '../lib/worker.mjs';
+import { Client, isReady } from '../stand-ins/client.mjs';
+import { findNetwork, makeFolder, makeMachines } from '../stand-ins/fleet.mjs';
+import { HOST, KEY, buildManifest, putManifest, startStore } from '../stand-ins/store.mjs';
+import { runCase, sleep, waitUntil } from '../stand-ins/test.mjs';
+import { Worker, buildHead, sendStream } from '../stand-ins/worker.mjs';
+
+/** With `TROUBLE=0` the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const MACHINES = 4;
 const TRAFFIC_MS = 45_000;
@@ -18,7 +21,7 @@
 /** The rule allows three requests. */
 const ALLOWED_LOST = 3;
 
-await runCase(new URL('./', import.meta.url), async (record, closers) => {
+await runCase(new URL('./', import.meta.url), hasTrouble, async (record, closers) => {
 	const prefix = await findNetwork(MACHINES);
 	const folder = makeFolder();
 	const { store, address } = await startStore();
--- a/review/lib/test.mjs
+++ b/review/stand-ins/test.mjs
@@ -2,7 +2,6 @@
 import { openSync, writeSync } from 'node:fs';
 
 export const EXIT = { held: 0, broken: 1, notRun: 2 };
-export const hasTrouble = process.env.TROUBLE !== '0';
 const LIMIT_MS = 110_000;
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -18,8 +17,11 @@
 	}
 }
 
-/** @param run gets the record and a list of functions that end what it started; returns whether the rule held */
-export async function runCase(folderUrl, run) {
+/**
+ * @param hasTrouble whether the case runs with its disruption
+ * @param run gets the record and a list of functions that end what it started; returns whether the rule held
+ */
+export async function runCase(folderUrl, hasTrouble, run) {
 	const record = new Record(folderUrl);
 	const closers = [];
 	const close = () => closers.splice(0).forEach((closer) => closer());
