Reject response heads that cannot be forwarded, and fail only their request

Cause: parseHead accepted header names and values that RFC 9110 does not allow. ServerResponse.writeHead throws for them, inside the data event of the target's socket, and TargetConnection caught only the parser's own error.

Change: names and values are checked while the head is parsed, so that the answer is malformed like any other; an exception while a response is handled fails that request only.

Evidence: the uncaught exceptions end in writeHead under CallerResponse.writeHead.

--- a/packages/gateway/src/common/responseParser.ts
+++ b/packages/gateway/src/common/responseParser.ts
@@ -39,6 +39,10 @@
 const MAX_EXTRA_BYTES = 65_536;
 const MAX_CHUNK_LINE_BYTES = 4096;
 const HEAD_END = '\r\n\r\n';
+/** A field name is a token of RFC 9110, section 5.6.2. */
+const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+/** Field values of RFC 9110, section 5.5: tabs, visible characters, spaces and the bytes from 0x80 on. */
+const HEADER_VALUE_PATTERN = /^[\t\x20-\x7e\x80-\xff]*$/;
 const EMPTY = Buffer.alloc(0);
 
 type ParserState =
@@ -263,15 +267,17 @@
 	const rawHeaders: string[] = [];
 	for (const line of lines.slice(1)) {
 		const colon = line.indexOf(':');
-		if (colon <= 0 || /[\s]/.test(line.slice(0, colon))) {
+		const name = line.slice(0, Math.max(0, colon));
+		const value = line.slice(colon + 1);
+		// Headers are forwarded to callers, and the runtime throws if it is to write any other bytes.
+		if (!HEADER_NAME_PATTERN.test(name) || !HEADER_VALUE_PATTERN.test(value)) {
 			throw new ResponseFormatError('A header is malformed.');
 		}
-		const name = line.slice(0, colon);
-		const value = line.slice(colon + 1).trim();
-		rawHeaders.push(name, value);
+		const trimmed = value.trim();
+		rawHeaders.push(name, trimmed);
 		const key = name.toLowerCase();
 		const known = headers.get(key);
-		headers.set(key, known === undefined ? value : `${known}, ${value}`);
+		headers.set(key, known === undefined ? trimmed : `${known}, ${trimmed}`);
 	}
 	const framing = findFraming(status, headers, method);
 	const connection = headers.get('connection')?.toLowerCase();
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -6,7 +6,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import type { ResponseHandler, ResponseHead } from '../common/responseParser.js';
-import { ResponseFormatError, ResponseParser } from '../common/responseParser.js';
+import { ResponseParser } from '../common/responseParser.js';
 
 /** Idle time after which the kernel probes whether the peer of a connection is still there. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1000;
@@ -216,16 +216,21 @@
 			this.markClosed();
 			return;
 		}
-		try {
-			const surplus = this.parser.add(chunk);
+		const { parser } = this;
+		this.handleResponse(() => {
+			const surplus = parser.add(chunk);
 			if (this.listener === undefined && !this.isClosed) {
 				this.finishRequest(surplus.length > 0);
 			}
+		});
+	}
+
+	/** Fails the request in flight if its response cannot be handled, whatever the error: others must not end with it. */
+	private handleResponse(handle: () => void): void {
+		try {
+			handle();
 		} catch (error) {
-			if (!(error instanceof ResponseFormatError)) {
-				throw error;
-			}
-			this.fail('malformed', error.message);
+			this.fail('malformed', error instanceof Error ? error.message : String(error));
 		}
 	}
 
@@ -267,7 +272,9 @@
 				this.fail('broken', 'the connection was reset before the answer was whole');
 				return;
 			}
-			parser.finish();
+			this.handleResponse(() => {
+				parser.finish();
+			});
 			this.markClosed();
 			if (this.isAwaitingResponse()) {
 				this.fail('broken', 'the connection ended with the answer to another request');
--- a/packages/gateway/test/common/responseParser.test.ts
+++ b/packages/gateway/test/common/responseParser.test.ts
@@ -1,3 +1,4 @@
+import { validateHeaderName, validateHeaderValue } from 'node:http';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { ResponseHead } from '../../src/common/responseParser.js';
@@ -31,6 +32,16 @@
 	return parsed;
 }
 
+/** Returns the heads of a response; none if it is malformed. */
+function tryParse(text: string): readonly ResponseHead[] {
+	try {
+		return parse([text]).heads;
+	} catch (error) {
+		expect(error).to.be.instanceOf(ResponseFormatError);
+		return [];
+	}
+}
+
 function splitAt(text: string, cuts: readonly number[]): string[] {
 	const positions = [0, ...cuts.map((cut) => cut % text.length).sort((a, b) => a - b), text.length];
 	return positions.slice(1).map((end, index) => text.slice(positions[index], end));
@@ -68,6 +79,25 @@
 		expect(parse(['HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody'], 'GET', true).complete).to.equal(0);
 	});
 
+	// Guards against an exception of the runtime when headers with such bytes are forwarded to a caller.
+	it('accepts a head with one wrong byte only if the runtime can write all of its headers', () => {
+		const head = Buffer.from('HTTP/1.1 200 OK\r\nServer-Stamp: 1.2-3\r\nContent-Length: 0\r\n\r\n');
+		const wrongByte = { position: fc.nat(head.length - 1), byte: fc.nat(255) };
+		fc.assert(
+			fc.property(fc.record(wrongByte), ({ position, byte }) => {
+				const spoiled = Buffer.from(head);
+				spoiled[position] = byte;
+				for (const { rawHeaders } of tryParse(spoiled.toString('latin1'))) {
+					for (let index = 0; index < rawHeaders.length; index += 2) {
+						validateHeaderName(rawHeaders[index] ?? '');
+						validateHeaderValue('any', rawHeaders[index + 1] ?? '');
+					}
+				}
+			}),
+			{ numRuns: 2000 },
+		);
+	});
+
 	for (const [name, text] of [
 		['a status line of another protocol', 'SSH-2.0-x\r\n\r\n'],
 		[
--- a/packages/gateway/test/node/targetConnection.test.ts
+++ b/packages/gateway/test/node/targetConnection.test.ts
@@ -131,6 +131,15 @@
 		expect((await request(connectTo(port))).outcome).to.equal('malformed');
 	});
 
+	// Guards against the end of the whole process, with all other requests, when one response cannot be handled.
+	it('fails only the request whose response cannot be handled', async () => {
+		const port = await listen((socket) => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'));
+		const response = await request(connectTo(port), () => {
+			throw new TypeError('the response cannot be handled');
+		});
+		expect(response.outcome).to.equal('malformed');
+	});
+
 	it('reports a refused connection as unreachable', async () => {
 		const port = await listen(() => undefined);
 		await new Promise((resolve) => server.close(resolve));
