--- a/packages/gateway/src/common/targetView.ts
+++ b/packages/gateway/src/common/targetView.ts
@@ -14,7 +14,7 @@
 
 /** As the platform documents, live targets register again within about 2 s of the store's recovery. */
 const REREGISTRATION_GRACE_MS = 2200;
-/** Age of the list that indicates an outage of the store when the next one is read: two missed reads of 0.8 s. */
+/** Age of the list from which an outage of the store may have made entries expire; they last for over 3 s. */
 const OUTAGE_LIST_AGE_MS = 2000;
 
 /** Limit of the starts that an instance that starts is told; a copy of the store is only some seconds old. */
@@ -68,6 +68,8 @@
 	/** Ids of retained targets that are missing from the newest list, with the end of their grace period. */
 	private readonly missingUntilMs = new Map<string, number>();
 	private confirmedAtMs = -Infinity;
+	/** When the store last failed to answer a read of this instance. */
+	private failedReadAtMs = -Infinity;
 	private graceUntilMs = -Infinity;
 
 	/** The newest list as it was read, without what this instance knows beyond it; undefined before the first one. */
@@ -94,6 +96,11 @@
 		this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
 	}
 
+	/** Records that the store did not answer a read of this instance. */
+	public recordFailedRead(atMs: number): void {
+		this.failedReadAtMs = atMs;
+	}
+
 	/** Applies a list that was read at `atMs`. A list older than the newest one is ignored. */
 	public apply(list: ListedTargets, source: ListSource, atMs: number, nowMs: number): TargetListChange {
 		const known = this.newestList;
@@ -101,8 +108,12 @@
 			return NO_CHANGE;
 		}
 		const isRestored = known !== undefined && list.era > known.era;
+		// A list may also be old because this instance was slow to read it; the store was then there for the targets.
 		const isOutageOver =
-			known !== undefined && source === 'store' && this.computeAge(nowMs) > OUTAGE_LIST_AGE_MS;
+			known !== undefined &&
+			source === 'store' &&
+			this.failedReadAtMs > this.confirmedAtMs &&
+			this.computeAge(nowMs) > OUTAGE_LIST_AGE_MS;
 		if (isRestored || isOutageOver) {
 			this.graceUntilMs = nowMs + REREGISTRATION_GRACE_MS;
 		}
--- a/packages/gateway/src/node/targetListSync.ts
+++ b/packages/gateway/src/node/targetListSync.ts
@@ -26,9 +26,12 @@
 /** Additional age per rank, so that instances of lower rank read first. */
 const RANK_DELAY_MS = 200;
 const MAX_DELAYED_RANK = 4;
-/** Back-off after a failed read; doubles up to the maximum. */
+/**
+ * Back-off after a failed read; doubles up to the maximum. The grace period of missing targets begins with the first read
+ * after an outage, so a longer one would keep targets that leave later.
+ */
 const INITIAL_BACKOFF_MS = 200;
-const MAX_BACKOFF_MS = 1600;
+const MAX_BACKOFF_MS = 800;
 /** Maximum back-off before the first list, while no request can be served. */
 const MAX_STARTUP_BACKOFF_MS = 200;
 
@@ -173,6 +176,7 @@
 				// The store answers; the next tick reads the list of the new era.
 				return;
 			}
+			this.parts.view.recordFailedRead(performance.now());
 			const maxBackoffMs = this.parts.view.list === undefined ? MAX_STARTUP_BACKOFF_MS : MAX_BACKOFF_MS;
 			this.backoffMs = Math.min(maxBackoffMs, Math.max(INITIAL_BACKOFF_MS, this.backoffMs * 2));
 			this.backoffUntilMs = performance.now() + this.backoffMs;
--- a/packages/gateway/test/common/targetView.test.ts
+++ b/packages/gateway/test/common/targetView.test.ts
@@ -30,6 +30,7 @@
 	it('retains entries that expired during an outage of the store until the grace period is over', () => {
 		const view = new TargetView();
 		view.apply(list(1, makeRecord('a'), makeRecord('b')), 'store', 0, 0);
+				view.recordFailedRead(7000);
 		view.apply(list(2), 'store', 8000, 8000);
 		expect(listIds(view)).to.deep.equal(['a', 'b']);
 		view.apply(list(3, makeRecord('b')), 'store', 9000, 9000);
@@ -39,6 +40,15 @@
 		expect(listIds(view)).to.deep.equal(['b']);
 	});
 
+	// Guards against work for targets that left while this instance was late to read the list, and the store was not down.
+	it('removes missing targets at once after a late read if the store answered all reads', () => {
+		const view = new TargetView();
+				view.recordFailedRead(0);
+		view.apply(list(1, makeRecord('a'), makeRecord('b')), 'store', 10, 10);
+		view.apply(list(2, makeRecord('b')), 'store', 8000, 8000);
+		expect(listIds(view)).to.deep.equal(['b']);
+	});
+
 	it('keeps a target leaving until it restarts, even if a later list shows it as ready', () => {
 		const view = new TargetView();
 		view.apply(list(1, makeRecord('a', { isLeaving: true })), 'store', 0, 0);
@@ -51,6 +61,7 @@
 	it('does not retain an expired entry of a leaving target', () => {
 		const view = new TargetView();
 		view.apply(list(1, makeRecord('a', { isLeaving: true })), 'store', 0, 0);
+				view.recordFailedRead(7000);
 		view.apply(list(2), 'store', 8000, 8000);
 		expect(listIds(view)).to.deep.equal([]);
 	});
