--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,6 @@
 /** Public API of the gateway package, which forwards callers' requests to targets. */
 export { HOP_BY_HOP_HEADERS, parseConnectionHeader } from '@papayawell/core';
-export { sampleAddresses, splitAddress } from './common/addresses.js';
+export { isAddress, sampleAddresses, splitAddress } from './common/addresses.js';
 export type { EngineCodec } from './common/engineCodec.js';
 export type { EvacuationUpdate, ZoneChange } from './common/evacuatedZones.js';
 export type { EventLog, LogClass, LogFields } from './common/eventLog.js';
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -1,7 +1,7 @@
 /** Membership of this instance in the fleet: discovers the other instances and exchanges state with them by gossip. */
 import type { Disposable } from '@papayawell/core';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { sampleAddresses, splitAddress } from '../common/addresses.js';
+import { isAddress, sampleAddresses, splitAddress } from '../common/addresses.js';
 import type { EventLog } from '../common/eventLog.js';
 import { computePeerInterval, countHeartbeatGroups, GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
 import type { MetadataStore } from '../common/metadataStore.js';
@@ -320,6 +320,10 @@
 		if (name === this.parts.self.name) {
 			return false;
 		}
+		if (!isAddress(controlAddress)) {
+			this.logError('peerLinkError', `the control address of ${name} is invalid`);
+			return false;
+		}
 		const nowMs = performance.now();
 		const ageMs = this.stateAges.record(state, nowMs);
 		if (ageMs === undefined || ageMs > MAX_STATE_AGE_MS) {
@@ -329,7 +333,7 @@
 		this.zonesByAddress.set(controlAddress, state.instance.zone);
 		this.candidates.set(controlAddress, nowMs + CANDIDATE_TTL_MS);
 		for (const address of state.known) {
-			if (!this.candidates.has(address)) {
+			if (isAddress(address) && !this.candidates.has(address)) {
 				this.candidates.set(address, nowMs + CANDIDATE_TTL_MS);
 			}
 		}
--- a/packages/gateway/test/common/targetView.test.ts
+++ b/packages/gateway/test/common/targetView.test.ts
@@ -30,7 +30,7 @@
 	it('retains entries that expired during an outage of the store until the grace period is over', () => {
 		const view = new TargetView();
 		view.apply(list(1, makeRecord('a'), makeRecord('b')), 'store', 0, 0);
-				view.recordFailedRead(7000);
+		view.recordFailedRead(7000);
 		view.apply(list(2), 'store', 8000, 8000);
 		expect(listIds(view)).to.deep.equal(['a', 'b']);
 		view.apply(list(3, makeRecord('b')), 'store', 9000, 9000);
@@ -43,7 +43,7 @@
 	// Guards against work for targets that left while this instance was late to read the list, and the store was not down.
 	it('removes missing targets at once after a late read if the store answered all reads', () => {
 		const view = new TargetView();
-				view.recordFailedRead(0);
+		view.recordFailedRead(0);
 		view.apply(list(1, makeRecord('a'), makeRecord('b')), 'store', 10, 10);
 		view.apply(list(2, makeRecord('b')), 'store', 8000, 8000);
 		expect(listIds(view)).to.deep.equal(['b']);
@@ -61,7 +61,7 @@
 	it('does not retain an expired entry of a leaving target', () => {
 		const view = new TargetView();
 		view.apply(list(1, makeRecord('a', { isLeaving: true })), 'store', 0, 0);
-				view.recordFailedRead(7000);
+		view.recordFailedRead(7000);
 		view.apply(list(2), 'store', 8000, 8000);
 		expect(listIds(view)).to.deep.equal([]);
 	});
