--- a/packages/gateway/src/node/documentFetch.ts
+++ b/packages/gateway/src/node/documentFetch.ts
@@ -66,6 +66,8 @@
 			clearTimeout(this.timer);
 			this.resolve(Buffer.concat(this.chunks).toString('utf8'));
 		} else {
+			// It may be a second copy of an earlier answer, and that of the document would be read as one of the next request.
+			this.connection.close();
 			this.fail(`HTTP ${status ?? 'response without a head'}`);
 		}
 		return true;
--- a/packages/gateway/test/node/documentFetch.test.ts
+++ b/packages/gateway/test/node/documentFetch.test.ts
@@ -52,6 +52,15 @@
 		expect(failures).to.deep.equal([]);
 	});
 
+	// Guards against a document that is read as the answer to the next request, after a copy of an earlier answer.
+	it('does not keep a connection on which a refusal has come in place of the document', async () => {
+		const failures: string[] = [];
+		const connection = await connectTo('HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n', '');
+		expect(await fetch(connection, failures)).to.equal(undefined);
+		expect(connection.isIdle(performance.now())).to.equal(false);
+		expect(failures).to.deep.equal(['HTTP 503']);
+	});
+
 	// Guards against an engine that fills the memory of the gateway with a list that never ends.
 	it('gives up a document without end', async () => {
 		const failures: string[] = [];
