Notice within 1.5 s that a watch of the configuration is not answered

Cause: a watch on a silent connection is never answered. That was noticed 4.5 s after it was sent at the first two instances, 21.5 s at the others, and a back-off of up to 1 s followed. An instance that became one of the first kept its long watch.

Change: the first four instances watch for 1 s at a time and give up 0.5 s later; after a failure the next watch does not wait; the back-off ends at 0.5 s; a long watch is replaced when the instance becomes one of the first four.

--- a/packages/gateway/src/node/configurationSync.ts
+++ b/packages/gateway/src/node/configurationSync.ts
@@ -1,16 +1,15 @@
 /** Keeps the configuration up to date: watches the store, and fetches newer versions from peers if it is late. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { Disposable } from '@papayawell/core';
 import type { ActiveConfiguration } from '../common/activeConfiguration.js';
 import type { EvacuationUpdate } from '../common/evacuatedZones.js';
 import type { EventLog } from '../common/eventLog.js';
-import type { MetadataStore } from '../common/metadataStore.js';
+import type { ConfigurationReadResult, MetadataStore } from '../common/metadataStore.js';
 import { describeError, StoreError } from '../common/metadataStore.js';
 import type { StorePosition } from '../common/storePosition.js';
 
 /** Back-off after a failed call; doubles up to the maximum. */
 const INITIAL_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 1000;
+const MAX_BACKOFF_MS = 500;
 /** Maximum back-off before the first configuration, while no request can be served. */
 const MAX_STARTUP_BACKOFF_MS = 200;
 /** Random share of a back-off, so that instances do not call at the same time. */
@@ -20,11 +19,13 @@
 /** Time in which the store may deliver a newer version before it is fetched from a peer. */
 const PEER_FETCH_DELAY_MS = 100;
 
-/** Watch time-out of the first instances. Short, so that they soon notice a connection that has become unresponsive. */
-const SHORT_WATCH_TIMEOUT_MS = 3000;
+/** Watch time-out of the first instances. Short, since a watch whose connection has gone silent is never answered. */
+const SHORT_WATCH_TIMEOUT_MS = 1000;
 /** Watch time-out of the others, to save calls: the first instances gossip a change to them in the meantime. */
 const LONG_WATCH_TIMEOUT_MS = 20_000;
-const SHORT_WATCH_RANKS = 2;
+const SHORT_WATCH_RANKS = 4;
+/** Watch time-out after a failed call: tells at once whether the store answers, and what it has. */
+const TRIAL_WATCH_TIMEOUT_MS = 0;
 
 export interface ConfigurationSyncParts {
 	readonly store: MetadataStore;
@@ -42,6 +43,8 @@
 	private readonly abortController = new AbortController();
 	private isFetching = false;
 	private hasStoreFailed = false;
+	/** Ends the long watch that waits; undefined while none does. */
+	private longWatch: AbortController | undefined;
 
 	constructor(private readonly parts: ConfigurationSyncParts) {}
 
@@ -49,6 +52,13 @@
 		void this.run();
 	}
 
+	/** Called periodically: replaces a long watch, which may not be answered, once the others rely on this instance. */
+	public tick(): void {
+		if (this.isAmongFirst()) {
+			this.longWatch?.abort();
+		}
+	}
+
 	/** Handles the version that a peer has in force: fetches it if it is newer. */
 	public handlePeerVersion(controlAddress: string, version: number): void {
 		if (version > this.parts.activeConfiguration.version && !this.isFetching) {
@@ -66,6 +76,7 @@
 
 	public dispose(): void {
 		this.abortController.abort();
+		this.longWatch?.abort();
 	}
 
 	private async fetchFromPeer(controlAddress: string, version: number): Promise<void> {
@@ -110,9 +121,10 @@
 	): Promise<StorePosition | undefined> {
 		const { store, activeConfiguration } = this.parts;
 		const result =
-			position === undefined
-				? await store.readConfiguration(signal)
-				: await store.watchConfiguration(position, this.chooseWatchTimeout(), signal);
+			position === undefined ? await store.readConfiguration(signal) : await this.watch(position, signal);
+		if (result === undefined) {
+			return position;
+		}
 		if (result.evacuations !== undefined) {
 			this.parts.onEvacuationsRead?.(result.evacuations, result.position);
 		}
@@ -127,8 +139,34 @@
 		return result.position;
 	}
 
-	private chooseWatchTimeout(): number {
-		return this.parts.readOwnRank() < SHORT_WATCH_RANKS ? SHORT_WATCH_TIMEOUT_MS : LONG_WATCH_TIMEOUT_MS;
+	/** Returns undefined if the watch is to be replaced by a shorter one. */
+	private async watch(
+		position: StorePosition,
+		signal: AbortSignal,
+	): Promise<ConfigurationReadResult | undefined> {
+		const { store } = this.parts;
+		if (this.hasStoreFailed) {
+			return store.watchConfiguration(position, TRIAL_WATCH_TIMEOUT_MS, signal);
+		}
+		if (this.isAmongFirst()) {
+			return store.watchConfiguration(position, SHORT_WATCH_TIMEOUT_MS, signal);
+		}
+		const longWatch = new AbortController();
+		this.longWatch = longWatch;
+		try {
+			return await store.watchConfiguration(position, LONG_WATCH_TIMEOUT_MS, longWatch.signal);
+		} catch (error) {
+			if (longWatch.signal.aborted) {
+				return undefined;
+			}
+			throw error;
+		} finally {
+			this.longWatch = undefined;
+		}
+	}
+
+	private isAmongFirst(): boolean {
+		return this.parts.readOwnRank() < SHORT_WATCH_RANKS;
 	}
 
 	private updateStoreStatus(error: unknown): void {
@@ -144,6 +182,10 @@
 	}
 }
 
+function sleep(durationMs: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
 /** Whether the store answers, but can't continue from the position, so that a full read is required. */
 function isPositionLost(error: unknown): boolean {
 	return error instanceof StoreError && (error.kind === 'compacted' || error.kind === 'restored');
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -574,6 +574,7 @@
 		const nowMs = performance.now();
 		this.evacuationSync.tick(nowMs);
 		this.membership.tick(nowMs);
+		this.configurationSync.tick();
 		this.targetListSync.tick(nowMs);
 		this.pathMonitor.tick(nowMs);
 		this.tickPromptCacheSync(nowMs);
