--- a/packages/gateway/test/node/fleetMembership.test.ts
+++ b/packages/gateway/test/node/fleetMembership.test.ts
@@ -10,12 +10,15 @@
 /** Time in which instances that start send to all peers directly, and some rounds through relays. */
 const SETTLE_MS = 4500;
 
+/** Connections of other tests have another address, and so cannot get a port of this one. */
+const HOST = '127.0.0.9';
+
 async function findAddress(): Promise<string> {
 	const server = createServer();
-	await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+	await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
 	const { port } = server.address() as AddressInfo;
 	await new Promise((resolve) => server.close(resolve));
-	return `127.0.0.1:${port}`;
+	return `${HOST}:${port}`;
 }
 
 interface Member {
