--- a/packages/gateway/src/common/retryBudget.ts
+++ b/packages/gateway/src/common/retryBudget.ts
@@ -15,6 +15,11 @@
 const SAFETY_SHARE = 0.75;
 const BUCKETS_PER_WINDOW = 10;
 
+export interface RetryBudgetUse {
+	readonly retries: number;
+	readonly requests: number;
+}
+
 interface Bucket {
 	requests: number;
 	retries: number;
@@ -48,6 +53,15 @@
 		return true;
 	}
 
+	/** Returns what was used and counted in the window that ends now. */
+	public describeUse(nowMs: number): RetryBudgetUse {
+		this.getBucket(nowMs);
+		return {
+			requests: this.buckets.reduce((sum, { requests }) => sum + requests, 0),
+			retries: this.buckets.reduce((sum, { retries }) => sum + retries, 0),
+		};
+	}
+
 	private getBucket(nowMs: number): Bucket {
 		const number = Math.floor((nowMs * BUCKETS_PER_WINDOW) / this.settings.windowMs);
 		const skipped = Math.min(BUCKETS_PER_WINDOW, number - this.newestBucket);
--- a/packages/gateway/src/common/retryBudgets.ts
+++ b/packages/gateway/src/common/retryBudgets.ts
@@ -1,5 +1,5 @@
 /** The retry budgets of this instance, one per service. */
-import type { RetryBudgetSettings } from './retryBudget.js';
+import type { RetryBudgetSettings, RetryBudgetUse } from './retryBudget.js';
 import { RetryBudget } from './retryBudget.js';
 
 export class RetryBudgets {
@@ -20,6 +20,10 @@
 		return this.getBudget(service).tryAcquire(nowMs, instances);
 	}
 
+	public describeUse(service: string, nowMs: number): RetryBudgetUse {
+		return this.getBudget(service).describeUse(nowMs);
+	}
+
 	private getBudget(service: string): RetryBudget {
 		let budget = this.budgets.get(service);
 		if (budget === undefined) {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -51,6 +51,8 @@
 
 /** Interval of the periodic work of all components. */
 const TICK_INTERVAL_MS = 100;
+/** Minimum time between two log lines of the exhausted retry budget of a service. */
+const BUDGET_LOG_INTERVAL_MS = 1000;
 /** Share of a target's connections that the fleet may use; the older system has connections to it as well. */
 const MAX_CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 4;
@@ -152,6 +154,8 @@
 	private readonly placementAnnouncer: PlacementAnnouncer;
 	private readonly catchUp: StartupCatchUp;
 	private wasServing = false;
+	/** By service, when an exhausted retry budget is logged again. */
+	private readonly nextBudgetLogMs = new Map<string, number>();
 	/** When the active configuration was adopted. */
 	private configurationAdoptedAtMs = performance.now();
 	private readonly directory: InstanceDirectory;
@@ -717,7 +721,20 @@
 
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
-		return this.retries.tryAcquire(service, nowMs, this.membership.peers.countInstances(nowMs));
+		const instances = this.membership.peers.countInstances(nowMs);
+		const isAcquired = this.retries.tryAcquire(service, nowMs, instances);
+		if (!isAcquired) {
+			this.logExhaustedBudget(service, instances, nowMs);
+		}
+		return isAcquired;
+	}
+
+	private logExhaustedBudget(service: string, instances: number, nowMs: number): void {
+		if (nowMs >= (this.nextBudgetLogMs.get(service) ?? -Infinity)) {
+			this.nextBudgetLogMs.set(service, nowMs + BUDGET_LOG_INTERVAL_MS);
+			const { retries, requests } = this.retries.describeUse(service, nowMs);
+			this.dependencies.log.write('state', 'retryBudgetExhausted', { service, retries, requests, instances });
+		}
 	}
 
 	private computeConnectionLimit(service: string): number {
