Let the retry conditions of all instances add up in every window

What callers saw: nothing by itself; a service got more repeats than allowed. Cause: the window forgot a retry after 9.0 to 10 s, and requests earned retries again at the instance to which their callers moved, or at its next run. Change: an instance may retry if for each start of a window the retries since are at most half the ratio of the requests since a window earlier, plus its part of the slack (docs/design/retryBudget.md has the proof). Retries are remembered for a second longer than the window.

--- a/packages/gateway/src/common/retryBudget.ts
+++ b/packages/gateway/src/common/retryBudget.ts
@@ -1,6 +1,7 @@
 /**
- * Limits the retries of one service over a sliding window. All instances of the fleet share the budget: each
- * uses what its own requests earn, and an equal part of the fixed slack.
+ * Limits the retries of one service over a sliding window, at one instance of a fleet. The conditions of all instances
+ * and of all their earlier runs add up: no window has more retries than its requests and those of the window before it
+ * have earned, plus the parts of the slack that are in use. docs/design/retryBudget.md has the proof.
  */
 
 export interface RetryBudgetSettings {
@@ -11,69 +12,86 @@
 	readonly slack: number;
 }
 
-/** Share of the budget that is used; the margin is there because each instance counts its window separately. */
-const SAFETY_SHARE = 0.75;
-const BUCKETS_PER_WINDOW = 10;
+/**
+ * Longest time from the decision on a retry until the target has it, with that from the arrival of a request until it is
+ * counted.
+ */
+export const MAX_RETRY_DELAY_MS = 1000;
+/** Each request earns half of the ratio for its own window and half for the next one. */
+const WINDOWS_EARNED_FOR = 2;
+const REQUEST_BUCKETS_PER_WINDOW = 100;
+
+interface RequestBucket {
+	readonly startMs: number;
+	/** Requests before this bucket, since the start. */
+	readonly before: number;
+}
 
 export interface RetryBudgetUse {
 	readonly retries: number;
 	readonly requests: number;
 }
 
-interface Bucket {
-	requests: number;
-	retries: number;
-}
-
 export class RetryBudget {
-	private readonly buckets: Bucket[] = [];
-	private newestBucket = 0;
+	private readonly requestBuckets: RequestBucket[] = [];
+	private totalRequests = 0;
+	private readonly retriesAtMs: number[] = [];
+	private readonly retentionMs: number;
+	private readonly earnedBeforeMs: number;
 
-	constructor(private readonly settings: RetryBudgetSettings) {}
+	constructor(private readonly settings: RetryBudgetSettings) {
+		this.retentionMs = settings.windowMs + MAX_RETRY_DELAY_MS;
+		this.earnedBeforeMs = Math.max(0, settings.windowMs - MAX_RETRY_DELAY_MS);
+	}
 
 	public recordRequest(nowMs: number): void {
-		this.getBucket(nowMs).requests += 1;
+		const bucketMs = this.settings.windowMs / REQUEST_BUCKETS_PER_WINDOW;
+		const startMs = Math.floor(nowMs / bucketMs) * bucketMs;
+		if (startMs !== this.requestBuckets.at(-1)?.startMs) {
+			this.expire(nowMs);
+			this.requestBuckets.push({ startMs, before: this.totalRequests });
+		}
+		this.totalRequests += 1;
 	}
 
-	/** Acquires one retry; returns false if the budget of the window is exhausted. */
-	public tryAcquire(nowMs: number, instances: number): boolean {
-		const bucket = this.getBucket(nowMs);
-		let requests = 0;
-		let retries = 0;
-		for (const { requests: bucketRequests, retries: bucketRetries } of this.buckets) {
-			requests += bucketRequests;
-			retries += bucketRetries;
-		}
-		const { ratio, slack } = this.settings;
-		const allowance = SAFETY_SHARE * (ratio * requests + slack / Math.max(1, instances));
-		if (retries + 1 > allowance) {
-			return false;
+	/**
+	 * Acquires one retry; returns false if the budget is exhausted.
+	 * @param slack part of the fleet's slack that this instance may use now
+	 */
+	public tryAcquire(nowMs: number, slack: number): boolean {
+		this.expire(nowMs);
+		const earnedByRequest = this.settings.ratio / WINDOWS_EARNED_FOR;
+		let bucket = 0;
+		for (let index = 0; index <= this.retriesAtMs.length; index++) {
+			const fromMs = (this.retriesAtMs[index] ?? nowMs) - this.earnedBeforeMs;
+			while ((this.requestBuckets[bucket]?.startMs ?? Infinity) < fromMs) {
+				bucket += 1;
+			}
+			const requests = this.totalRequests - (this.requestBuckets[bucket]?.before ?? this.totalRequests);
+			const retries = this.retriesAtMs.length - index + 1;
+			if (retries > earnedByRequest * requests + slack) {
+				return false;
+			}
 		}
-		bucket.retries += 1;
+		this.retriesAtMs.push(nowMs);
 		return true;
 	}
 
 	/** Returns what was used and counted in the window that ends now. */
 	public describeUse(nowMs: number): RetryBudgetUse {
-		this.getBucket(nowMs);
+		this.expire(nowMs);
+		const oldest = this.requestBuckets.find(({ startMs }) => startMs >= nowMs - this.settings.windowMs);
 		return {
-			requests: this.buckets.reduce((sum, { requests }) => sum + requests, 0),
-			retries: this.buckets.reduce((sum, { retries }) => sum + retries, 0),
+			retries: this.retriesAtMs.length,
+			requests: this.totalRequests - (oldest?.before ?? this.totalRequests),
 		};
 	}
 
-	private getBucket(nowMs: number): Bucket {
-		const number = Math.floor((nowMs * BUCKETS_PER_WINDOW) / this.settings.windowMs);
-		const skipped = Math.min(BUCKETS_PER_WINDOW, number - this.newestBucket);
-		for (let step = 0; step < skipped; step++) {
-			this.buckets.push({ requests: 0, retries: 0 });
-		}
-		this.newestBucket = Math.max(this.newestBucket, number);
-		this.buckets.splice(0, Math.max(0, this.buckets.length - BUCKETS_PER_WINDOW));
-		const last = this.buckets.at(-1) ?? { requests: 0, retries: 0 };
-		if (this.buckets.length === 0) {
-			this.buckets.push(last);
-		}
-		return last;
+	private expire(nowMs: number): void {
+		const firstRetry = this.retriesAtMs.findIndex((atMs) => atMs >= nowMs - this.retentionMs);
+		this.retriesAtMs.splice(0, firstRetry === -1 ? this.retriesAtMs.length : firstRetry);
+		const oldestMs = nowMs - this.retentionMs - this.earnedBeforeMs;
+		const firstBucket = this.requestBuckets.findIndex(({ startMs }) => startMs >= oldestMs);
+		this.requestBuckets.splice(0, firstBucket === -1 ? this.requestBuckets.length : firstBucket);
 	}
 }
--- a/packages/gateway/src/common/retryBudgets.ts
+++ b/packages/gateway/src/common/retryBudgets.ts
@@ -17,7 +17,7 @@
 	 * @param instances number of instances that share the budget
 	 */
 	public tryAcquire(service: string, nowMs: number, instances: number): boolean {
-		return this.getBudget(service).tryAcquire(nowMs, instances);
+		return this.getBudget(service).tryAcquire(nowMs, this.settings.slack / instances);
 	}
 
 	public describeUse(service: string, nowMs: number): RetryBudgetUse {
