Divide limits of the fleet among a roster that restarts and cuts do not shrink

What callers saw: nothing by itself; the targets of a service got more repeats than the fleet may send (BUDGET) when instances restarted or were cut off. Cause: a start had its whole part of the slack again, and the slack was divided by a count that fell to 1 in each instance 24 s after it heard no other. Its class: a limit of the whole fleet, divided by what a process remembers. Evidence: logs of retryBudgetExhausted: 10 retries for 4 requests 0.08 s after a restart with 4 instances counted; instances=1 in all four during a partition. Change: one roster for all limits; an instance uses its part only while no other may (docs/design/retryBudget.md).

--- a/packages/gateway/src/common/instanceRoster.ts
+++ b/packages/gateway/src/common/instanceRoster.ts
@@ -13,6 +13,10 @@
 /** Time from the first message of a peer until all instances have heard of this one. */
 const MIN_JOIN_MS = 2000;
 const JOIN_INTERVALS = 2;
+/** Margin between the last use of a share and the time at which others may take it over. */
+const SHARE_MARGIN_MS = 2000;
+/** Time for which a majority counts as heard of after the last update. */
+const MAJORITY_VALIDITY_MS = 1000;
 
 /** What is known of a peer that is heard of. */
 export interface HeardInstance {
@@ -21,13 +25,35 @@
 	readonly instances: number | undefined;
 }
 
+export interface RosterOptions {
+	/** Whether the whole fleet starts for the first time, so that no earlier run has used a share. */
+	readonly isFirstStart: boolean;
+	/** Time for which the use of a share counts, in ms; it has to end before others take the share over. */
+	readonly shareWindowMs: number;
+	/** Number of other instances that the settings name. */
+	readonly seeds: number;
+}
+
 export class InstanceRoster {
 	private readonly heardAtMs = new Map<string, number>();
 	private users: readonly LimitUser[] = [];
 	private unknown = 0;
+	private named: number;
 	private joinedAtMs: number | undefined;
 	private hasJoined = false;
 	private version = 0;
+	/** When most of the instances, which count this one, were last heard of. */
+	private majorityAtMs = -Infinity;
+	private majoritySinceMs = -Infinity;
+	/** Whether shares may have been used differently before the present majority was heard of. */
+	private hasEarlierUse = true;
+	/** Time without a majority after which the others may remove this instance before its use of a share has expired. */
+	private readonly shareGraceMs: number;
+
+	constructor(private readonly options: RosterOptions) {
+		this.shareGraceMs = Math.max(0, RETENTION_MS - options.shareWindowMs - SHARE_MARGIN_MS);
+		this.named = options.seeds;
+	}
 
 	/** Changes whenever a division among the instances may have changed. */
 	public get revision(): number {
@@ -49,13 +75,39 @@
 		return this.unknown;
 	}
 
+	/** Number of instances that may run, including this one. */
+	public get instances(): number {
+		return Math.max(this.size + this.unknown, this.named + 1);
+	}
+
 	/** Whether this instance has been heard of by the others, so that they count it; never before it hears a peer. */
 	public get isMember(): boolean {
 		return this.hasJoined;
 	}
 
-	/** Called periodically with the peers that are heard of now. */
-	public update(heard: readonly HeardInstance[], nowMs: number): void {
+	/** Whether most of the instances are heard of, and count this one. */
+	public hasMajority(nowMs: number): boolean {
+		return nowMs - this.majorityAtMs <= MAJORITY_VALIDITY_MS;
+	}
+
+	/**
+	 * Returns the share of this instance in a limit of the whole fleet. It is 0 while an earlier run of this instance may
+	 * have used the share, others may still use more than theirs, or they may no longer count this instance.
+	 */
+	public computeShare(limit: number, nowMs: number): number {
+		const { shareWindowMs } = this.options;
+		const waitMs = this.joinMs + (this.hasEarlierUse ? shareWindowMs : 0);
+		const isCounted =
+			nowMs - this.majoritySinceMs >= waitMs && nowMs - this.majorityAtMs <= this.shareGraceMs;
+		return isCounted ? limit / this.instances : 0;
+	}
+
+	/**
+	 * Called periodically with the peers that are heard of now.
+	 * @param named number of other instances that the settings and the store name, heard of or not
+	 */
+	public update(heard: readonly HeardInstance[], nowMs: number, named = this.options.seeds): void {
+		const previousInstances = this.instances;
 		let hasChanged = false;
 		for (const { name } of heard) {
 			hasChanged ||= !this.heardAtMs.has(name);
@@ -72,9 +124,11 @@
 		if (hasChanged) {
 			this.users = [...this.heardAtMs.keys()].map(createLimitUser);
 		}
+		this.named = named;
 		hasChanged = this.updateUnknown(heard) || hasChanged;
 		hasChanged = this.updateMembership(heard.length, nowMs) || hasChanged;
-		this.version += hasChanged ? 1 : 0;
+		this.updateMajority(heard, nowMs);
+		this.version += hasChanged || this.instances !== previousInstances ? 1 : 0;
 	}
 
 	private updateUnknown(heard: readonly HeardInstance[]): boolean {
@@ -92,8 +146,28 @@
 			return false;
 		}
 		this.joinedAtMs ??= nowMs;
-		const joinMs = Math.max(MIN_JOIN_MS, JOIN_INTERVALS * computePeerInterval(this.size));
-		this.hasJoined = nowMs - this.joinedAtMs >= joinMs;
+		this.hasJoined = nowMs - this.joinedAtMs >= this.joinMs;
 		return this.hasJoined;
 	}
+
+	private updateMajority(heard: readonly HeardInstance[], nowMs: number): void {
+		// A peer that knows of fewer instances may have removed this one, whose messages it does not get.
+		const counting = heard.filter(
+			({ instances }) => instances === undefined || instances > heard.length,
+		).length;
+		const hearsNobody = heard.length === 0 && this.options.seeds > 0;
+		if (hearsNobody || counting + 1 <= MIN_HEARD_SHARE * this.instances) {
+			return;
+		}
+		if (nowMs - this.majorityAtMs > this.shareGraceMs) {
+			this.hasEarlierUse = this.majorityAtMs !== -Infinity || !this.options.isFirstStart;
+			this.majoritySinceMs = nowMs;
+		}
+		this.majorityAtMs = nowMs;
+	}
+
+	/** Time until all instances have heard of this one. */
+	private get joinMs(): number {
+		return this.instances === 1 ? 0 : Math.max(MIN_JOIN_MS, JOIN_INTERVALS * computePeerInterval(this.size));
+	}
 }
--- a/packages/gateway/src/common/peerState.ts
+++ b/packages/gateway/src/common/peerState.ts
@@ -79,7 +79,7 @@
 	 * Targets that this instance treats as cold; undefined if it does not know that of all targets, or treats none as cold.
 	 */
 	readonly coldTargets?: readonly ColdTargetReport[] | undefined;
-	/** Number of instances, including this one, among which it divides what cold targets can handle. */
+	/** Number of instances, including this one, that it knows by name; undefined from instances of an older version. */
 	readonly rosterSize?: number | undefined;
 	/**
 	 * What targets reported of their load, in the numbers of `loadReportCodec.ts`; undefined from instances of an older
--- a/packages/gateway/src/common/peerTable.ts
+++ b/packages/gateway/src/common/peerTable.ts
@@ -13,8 +13,6 @@
 const EXPIRY_INTERVALS = 5;
 /** Instances that keep an entry in the store; from any of them an instance discovers the whole fleet. */
 const MAX_REGISTRARS = 6;
-/** How long the highest count of instances is retained, so that shares of common limits do not jump. */
-const COUNT_RETENTION_MS = 20_000;
 
 interface Peer {
 	state: PeerState;
@@ -23,8 +21,6 @@
 
 export class PeerTable {
 	private readonly peers = new Map<string, Peer>();
-	private highestCount = 1;
-	private highestCountAtMs = 0;
 
 	constructor(private readonly ownName: string) {}
 
@@ -98,16 +94,6 @@
 		return this.peers.get(name)?.state;
 	}
 
-	/** Returns the number of instances that share the common limits, including this one. */
-	public countInstances(nowMs: number): number {
-		const count = this.peers.size + 1;
-		if (count >= this.highestCount || nowMs - this.highestCountAtMs > COUNT_RETENTION_MS) {
-			this.highestCount = count;
-			this.highestCountAtMs = nowMs;
-		}
-		return this.highestCount;
-	}
-
 	/** Whether this instance keeps an entry in the store, by which starting instances discover the fleet. */
 	public isRegistrar(nowMs: number): boolean {
 		return this.findRankAmongServing(nowMs) < MAX_REGISTRARS;
--- a/packages/gateway/src/common/retryBudgets.ts
+++ b/packages/gateway/src/common/retryBudgets.ts
@@ -1,27 +1,44 @@
 /** The retry budgets of this instance, one per service. */
+import type { InstanceRoster } from './instanceRoster.js';
 import type { RetryBudgetSettings, RetryBudgetUse } from './retryBudget.js';
 import { RetryBudget } from './retryBudget.js';
 
+/** What an instance may use of the budget of a service, and what it has used. */
+export interface RetryBudgetState extends RetryBudgetUse {
+	/** Part of the slack that this instance may use. */
+	readonly slack: number;
+	readonly instances: number;
+}
+
 export class RetryBudgets {
 	private readonly budgets = new Map<string, RetryBudget>();
 
-	constructor(private readonly settings: RetryBudgetSettings) {}
+	/** @param roster the instances among which the slack is divided */
+	constructor(
+		private readonly settings: RetryBudgetSettings,
+		private readonly roster: Pick<InstanceRoster, 'computeShare' | 'instances'>,
+	) {}
 
 	/** Records the first send of a request. */
 	public recordRequest(service: string, nowMs: number): void {
 		this.getBudget(service).recordRequest(nowMs);
 	}
 
-	/**
-	 * Acquires one retry; returns false if the budget is exhausted.
-	 * @param instances number of instances that share the budget
-	 */
-	public tryAcquire(service: string, nowMs: number, instances: number): boolean {
-		return this.getBudget(service).tryAcquire(nowMs, this.settings.slack / instances);
+	/** Acquires one retry; returns false if the budget is exhausted. */
+	public tryAcquire(service: string, nowMs: number): boolean {
+		return this.getBudget(service).tryAcquire(nowMs, this.computeSlack(nowMs));
+	}
+
+	public describe(service: string, nowMs: number): RetryBudgetState {
+		return {
+			...this.getBudget(service).describeUse(nowMs),
+			slack: this.computeSlack(nowMs),
+			instances: this.roster.instances,
+		};
 	}
 
-	public describeUse(service: string, nowMs: number): RetryBudgetUse {
-		return this.getBudget(service).describeUse(nowMs);
+	private computeSlack(nowMs: number): number {
+		return this.roster.computeShare(this.settings.slack, nowMs);
 	}
 
 	private getBudget(service: string): RetryBudget {
--- a/packages/gateway/src/node/coldTargetSync.ts
+++ b/packages/gateway/src/node/coldTargetSync.ts
@@ -6,7 +6,7 @@
 import { computeColdBudget, computeColdShare, computeTrialDelay } from '../common/coldTargetShare.js';
 import type { EventLog } from '../common/eventLog.js';
 import type { ServiceDefinition } from '../common/gatewayConfiguration.js';
-import { InstanceRoster } from '../common/instanceRoster.js';
+import type { InstanceRoster } from '../common/instanceRoster.js';
 import type { ColdTargetMessage, UnreachableTargetMessage } from '../common/peerMessage.js';
 import type { ColdTargetReport, PeerState } from '../common/peerState.js';
 import { ColdnessSource } from '../common/peerState.js';
@@ -27,8 +27,8 @@
 	/** Whether the whole fleet starts for the first time: targets that are listed then run already. */
 	readonly isFirstStart: boolean;
 	readonly getService: (service: string) => ServiceDefinition | undefined;
-	/** Lists the peers that are heard of now. */
-	readonly listPeers: () => readonly PeerState[];
+	/** The instances among which the rates of cold targets are divided. */
+	readonly roster: Pick<InstanceRoster, 'isMember' | 'others' | 'revision' | 'unknownInstances'>;
 	/** Sends a message to all other instances. */
 	readonly broadcast: (message: ColdTargetMessage | UnreachableTargetMessage) => void;
 	readonly readTargetsDigest: () => number;
@@ -37,7 +37,6 @@
 
 export class ColdTargetSync {
 	private readonly self: LimitUser;
-	private readonly roster = new InstanceRoster();
 	/** Targets of which it was decided whether they may be cold when they were first listed. */
 	private readonly assessed = new WeakSet<TargetState>();
 	/** Unreachable targets of which the other instances were told. */
@@ -60,23 +59,14 @@
 		return this.coldCount;
 	}
 
-	/** Number of instances of which this one knows; undefined if no target is treated as cold. */
-	public get rosterSize(): number | undefined {
-		return this.parts.bounds === undefined ? undefined : this.roster.size;
-	}
-
 	/** Called periodically: divides what cold targets can handle anew, and logs which targets are cold. */
 	public tick(nowMs: number): void {
 		if (this.parts.bounds === undefined) {
 			return;
 		}
-		const heard = this.parts.listPeers().map(({ instance, rosterSize }) => ({
-			name: instance.name,
-			instances: rosterSize,
-		}));
-		this.roster.update(heard, nowMs);
-		if (this.roster.revision !== this.roundRevision) {
-			this.roundRevision = this.roster.revision;
+		const { revision } = this.parts.roster;
+		if (revision !== this.roundRevision) {
+			this.roundRevision = revision;
 			this.updateShares();
 		}
 		this.announceUnreachable();
@@ -280,7 +270,7 @@
 		if (bounds === undefined) {
 			return;
 		}
-		const { isMember, others, unknownInstances } = this.roster;
+		const { isMember, others, unknownInstances } = this.parts.roster;
 		for (const { coldness, nameHash, record } of targets.all) {
 			const coldStart = getService(record.service)?.coldStart;
 			const budget = coldStart === undefined ? 0 : computeColdBudget(coldStart.requestsPerSecond, bounds);
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -33,6 +33,8 @@
 const UNKNOWN_ADDRESS_ROUNDS = 3;
 /** How long state is sent to an address that never answers. */
 const CANDIDATE_TTL_MS = 30_000;
+/** How long a seed that never answers counts as an instance after the start, and after a read of the instances. */
+const SEED_RETENTION_MS = 20_000;
 /** A state that was under way for longer is dropped; the peer would have been discarded by then. */
 const MAX_STATE_AGE_MS = 4000;
 /** Minimum time between two logged errors. */
@@ -93,6 +95,9 @@
 	private nextRegistrationMs = 0;
 	private nextDiscoveryMs = 0;
 	private lastErrorMs = -Infinity;
+	private readonly startedAtMs = performance.now();
+	/** When the store last named the instances. */
+	private discoveredAtMs = -Infinity;
 
 	constructor(private readonly parts: FleetMembershipParts) {
 		const { self, seeds } = parts;
@@ -162,6 +167,21 @@
 		return this.parts.usesZoneRelays() ? computeRelayedInterval(peers) : computePeerInterval(peers);
 	}
 
+	/**
+	 * Returns the number of other instances that the settings, the store and peers name, heard of or not. A seed that never
+	 * answers counts until the store has named the instances that run without it.
+	 */
+	public countNamed(nowMs: number): number {
+		const includesSeeds =
+			nowMs - this.startedAtMs < SEED_RETENTION_MS || nowMs - this.discoveredAtMs > SEED_RETENTION_MS;
+		let count = 0;
+		for (const [address, expiresAtMs] of this.candidates) {
+			const isNamed = expiresAtMs === Infinity ? includesSeeds : nowMs <= expiresAtMs;
+			count += isNamed && address !== this.parts.self.controlAddress ? 1 : 0;
+		}
+		return count;
+	}
+
 	/** Returns the mean age of the states of the peers in ms. */
 	public computeMeanStateAge(nowMs: number): number {
 		const peers = this.peers.listWithAges(nowMs);
@@ -385,6 +405,7 @@
 		try {
 			const addresses = await this.parts.store.listInstances(this.abortController.signal);
 			const nowMs = performance.now();
+			this.discoveredAtMs = nowMs;
 			const isNew = addresses.some((address) => !this.candidates.has(address));
 			for (const address of addresses) {
 				this.candidates.set(address, nowMs + CANDIDATE_TTL_MS);
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -17,8 +17,10 @@
 import { PlacementAnnouncer } from '../common/placementAnnouncer.js';
 import { PeerRoutes } from '../common/peerRoutes.js';
 import type { ExplainResult, RequestQuestion } from '../common/requestExplanation.js';
+import { InstanceRoster } from '../common/instanceRoster.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
+import { MAX_RETRY_DELAY_MS } from '../common/retryBudget.js';
 import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
 import { VersionHistory } from '../common/versionHistory.js';
 import type { TargetState } from '../common/targetState.js';
@@ -130,6 +132,7 @@
 	private readonly versionHistory: VersionHistory;
 	private readonly findRegion: RegionLookup;
 	private readonly targets: TargetTable;
+	private readonly roster: InstanceRoster;
 	private readonly retries: RetryBudgets;
 	private readonly crashTracker: CrashTracker;
 	private readonly blockedPromptsSync: BlockedPromptsSync;
@@ -172,7 +175,12 @@
 		);
 		this.targets = new TargetTable(settings.self.zone, this.findRegion, settings.savesZoneTraffic);
 		this.peerRoutes = new PeerRoutes(settings.self.zone);
-		this.retries = new RetryBudgets(settings.retries);
+		this.roster = new InstanceRoster({
+			isFirstStart: settings.isFirstStart,
+			shareWindowMs: settings.retries.windowMs + MAX_RETRY_DELAY_MS,
+			seeds: settings.seeds.filter((address) => address !== settings.self.controlAddress).length,
+		});
+		this.retries = new RetryBudgets(settings.retries, this.roster);
 		this.metrics = new GatewayMetrics(() => ({
 			configurationVersion: this.activeConfiguration.version,
 			targetsAgeMs: this.view.computeAge(performance.now()),
@@ -245,7 +253,7 @@
 			broadcast: (message) => {
 				this.sendToAll(message);
 			},
-			countInstances: () => this.membership.peers.countInstances(performance.now()),
+			countInstances: () => this.roster.instances,
 			countHeard: () => this.membership.peers.listAll().length + 1,
 		});
 		this.evacuationSync = new EvacuationSync({
@@ -267,7 +275,7 @@
 			bounds: settings.coldTargets,
 			isFirstStart: settings.isFirstStart,
 			getService: (service) => this.findService(service),
-			listPeers: () => this.membership.peers.listAll(),
+			roster: this.roster,
 			broadcast: (message) => {
 				this.sendToAll(message);
 			},
@@ -300,7 +308,7 @@
 			onDidSuspect: () => {
 				this.membership.announce(performance.now());
 			},
-			countInstances: () => this.membership.peers.countInstances(performance.now()),
+			countInstances: () => this.roster.instances,
 			onDidBlockPart: ({ part, deaths }) => {
 				this.metrics.countDecision('promptPartBlocked');
 				log.write('state', 'promptPartBlocked', { part, deaths });
@@ -453,6 +461,7 @@
 			evacuationSync: this.evacuationSync,
 			coldTargetSync: this.coldTargetSync,
 			loadReportSync: this.loadReportSync,
+			roster: this.roster,
 			admission: this.admission,
 			isServing: () => this.isServing(),
 			hasTargetPath: () => !this.pathMonitor.isLost,
@@ -578,6 +587,7 @@
 		const nowMs = performance.now();
 		this.evacuationSync.tick(nowMs);
 		this.membership.tick(nowMs);
+		this.updateRoster(nowMs);
 		this.configurationSync.tick();
 		this.targetListSync.tick(nowMs);
 		this.pathMonitor.tick(nowMs);
@@ -594,6 +604,14 @@
 		this.checkServing(nowMs);
 	}
 
+	private updateRoster(nowMs: number): void {
+		const heard = this.membership.peers.listAll().map(({ instance, rosterSize }) => ({
+			name: instance.name,
+			instances: rosterSize,
+		}));
+		this.roster.update(heard, nowMs, this.membership.countNamed(nowMs));
+	}
+
 	/** Lets this instance serve once it has caught up, and gossips at once when it starts or stops serving. */
 	private checkServing(nowMs: number): void {
 		const { version } = this.activeConfiguration;
@@ -674,7 +692,7 @@
 			},
 			findService: (service) => this.findService(service),
 			listPeers: () => this.membership.peers.listAll(),
-			countInstances: () => this.membership.peers.countInstances(performance.now()),
+			countInstances: () => this.roster.instances,
 			seeds,
 		});
 	}
@@ -721,19 +739,18 @@
 
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
-		const instances = this.membership.peers.countInstances(nowMs);
-		const isAcquired = this.retries.tryAcquire(service, nowMs, instances);
+		const isAcquired = this.retries.tryAcquire(service, nowMs);
 		if (!isAcquired) {
-			this.logExhaustedBudget(service, instances, nowMs);
+			this.logExhaustedBudget(service, nowMs);
 		}
 		return isAcquired;
 	}
 
-	private logExhaustedBudget(service: string, instances: number, nowMs: number): void {
+	private logExhaustedBudget(service: string, nowMs: number): void {
 		if (nowMs >= (this.nextBudgetLogMs.get(service) ?? -Infinity)) {
 			this.nextBudgetLogMs.set(service, nowMs + BUDGET_LOG_INTERVAL_MS);
-			const { retries, requests } = this.retries.describeUse(service, nowMs);
-			this.dependencies.log.write('state', 'retryBudgetExhausted', { service, retries, requests, instances });
+			const budget = this.retries.describe(service, nowMs);
+			this.dependencies.log.write('state', 'retryBudgetExhausted', { service, ...budget });
 		}
 	}
 
@@ -742,10 +759,9 @@
 		if (definition === undefined) {
 			return MIN_CONNECTIONS;
 		}
-		const instances = this.membership.peers.countInstances(performance.now());
 		return Math.max(
 			MIN_CONNECTIONS,
-			Math.floor((definition.maxConnections * MAX_CONNECTION_SHARE) / instances),
+			Math.floor((definition.maxConnections * MAX_CONNECTION_SHARE) / this.roster.instances),
 		);
 	}
 }
--- a/packages/gateway/src/node/peerExchange.ts
+++ b/packages/gateway/src/node/peerExchange.ts
@@ -2,6 +2,7 @@
 import type { AdmissionControl } from './admissionControl.js';
 import type { ActiveConfiguration } from '../common/activeConfiguration.js';
 import type { MetadataStore } from '../common/metadataStore.js';
+import type { InstanceRoster } from '../common/instanceRoster.js';
 import type { GatewayState, PeerState, TargetLoad } from '../common/peerState.js';
 import type { StartupCatchUp } from '../common/startupCatchUp.js';
 import { encodeTargetList } from '../common/targetListDocument.js';
@@ -30,6 +31,7 @@
 	readonly evacuationSync: EvacuationSync;
 	readonly coldTargetSync: ColdTargetSync;
 	readonly loadReportSync: LoadReportSync;
+	readonly roster: InstanceRoster;
 	/** Undefined if this instance does not share capacity. */
 	readonly admission: AdmissionControl | undefined;
 	readonly isServing: () => boolean;
@@ -63,7 +65,7 @@
 			targetLimits: requestLimitSync.listReports(nowMs),
 			...(evacuations === undefined ? {} : { evacuations }),
 			coldTargets: this.parts.coldTargetSync.listReports(nowMs),
-			rosterSize: this.parts.coldTargetSync.rosterSize,
+			rosterSize: this.parts.roster.size,
 			targetReports: this.parts.loadReportSync.listReports(nowMs),
 			capacityUse: this.parts.admission?.describeUse(nowMs),
 		};
--- a/packages/gateway/test/common/coldTargetShare.test.ts
+++ b/packages/gateway/test/common/coldTargetShare.test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
 import { computeColdBudget, computeColdShare } from '../../src/common/coldTargetShare.js';
-import { InstanceRoster } from '../../src/common/instanceRoster.js';
 import { createLimitUser } from '../../src/common/requestLimitShare.js';
 
 const BOUNDS = { excess: 1.5, extra: 5 };
@@ -37,46 +36,3 @@
 		}
 	});
 });
-
-describe('InstanceRoster', () => {
-	const fleet = Array.from({ length: 9 }, (_, index) => ({ name: `edge-${index}`, instances: 10 }));
-
-	function updateWith(roster: InstanceRoster, count: number, fromMs: number, toMs: number): void {
-		for (let nowMs = fromMs; nowMs <= toMs; nowMs += 500) {
-			roster.update(fleet.slice(0, count), nowMs);
-		}
-	}
-
-	it('is no member before it hears a peer, and until all have heard of it', () => {
-		const roster = new InstanceRoster();
-		updateWith(roster, 0, 0, 60_000);
-		expect(roster.isMember).to.equal(false);
-		updateWith(roster, 1, 60_500, 62_000);
-		expect(roster.isMember).to.equal(false);
-		updateWith(roster, 9, 62_500, 63_000);
-		expect(roster.isMember).to.equal(true);
-	});
-
-	it('counts the instances that only its peers know', () => {
-		const roster = new InstanceRoster();
-		updateWith(roster, 2, 0, 1000);
-		expect([roster.size, roster.unknownInstances]).to.deep.equal([3, 7]);
-		updateWith(roster, 9, 1500, 2000);
-		expect([roster.size, roster.unknownInstances]).to.deep.equal([10, 0]);
-	});
-
-	it('forgets an instance that is gone, but not the others if it hears fewer than half of them', () => {
-		const roster = new InstanceRoster();
-		updateWith(roster, 9, 0, 1000);
-		updateWith(roster, 3, 1500, 120_000);
-		expect(roster.size).to.equal(10);
-		roster.update(fleet, 120_500);
-		for (let nowMs = 121_000; nowMs <= 145_000; nowMs += 500) {
-			roster.update(
-				fleet.slice(0, 6).map(({ name }) => ({ name, instances: undefined })),
-				nowMs,
-			);
-		}
-		expect(roster.size).to.equal(7);
-	});
-});
--- a/packages/gateway/test/common/peerTable.test.ts
+++ b/packages/gateway/test/common/peerTable.test.ts
@@ -103,14 +103,4 @@
 		table.recordHeartbeat({ kind: 'heartbeat', name: 'a', incarnation: '1', isServing: false }, 1600);
 		expect(table.listServing(1600)).to.have.lengthOf(0);
 	});
-
-	it('retains the number of instances that share the common limits when some expire', () => {
-		const table = new PeerTable('b');
-		table.update(makeState('a'), 0);
-		table.update(makeState('c'), 0);
-		expect(table.countInstances(100)).to.equal(3);
-		table.expire(5000);
-		expect(table.countInstances(5000)).to.equal(3);
-		expect(table.countInstances(30_000)).to.equal(1);
-	});
 });
--- a/packages/gateway/test/model/coldTargets.test.ts
+++ b/packages/gateway/test/model/coldTargets.test.ts
@@ -6,6 +6,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { GOSSIP_FAN_OUT, GOSSIP_INTERVAL_MS } from '../../src/common/gossipInterval.js';
+import { InstanceRoster } from '../../src/common/instanceRoster.js';
 import type { ColdTargetMessage, UnreachableTargetMessage } from '../../src/common/peerMessage.js';
 import type { PeerState } from '../../src/common/peerState.js';
 import { PeerTable } from '../../src/common/peerTable.js';
@@ -56,6 +57,7 @@
 class ModelInstance {
 	public targets = new TargetTable('a');
 	public peers: PeerTable;
+	private readonly roster: InstanceRoster;
 	public sync: ColdTargetSync;
 	/** Difference of its clock from that of the model. */
 	public readonly clockMs: number;
@@ -70,6 +72,7 @@
 	) {
 		this.clockMs = Math.floor(fleet.random() * 1e6);
 		this.peers = new PeerTable(this.name);
+		this.roster = new InstanceRoster({ isFirstStart, shareWindowMs: 11_000, seeds: 3 });
 		this.sync = new ColdTargetSync({
 			targets: this.targets,
 			log: { write: () => undefined },
@@ -83,7 +86,7 @@
 				hasCacheTransfer: false,
 				coldStart: COLD_START,
 			}),
-			listPeers: () => this.peers.listAll(),
+			roster: this.roster,
 			broadcast: (message) => {
 				fleet.deliver(message, this.index);
 			},
@@ -111,6 +114,10 @@
 
 	public tick(nowMs: number): void {
 		this.peers.expire(nowMs + this.clockMs);
+		const heard = this.peers
+			.listAll()
+			.map(({ instance, rosterSize }) => ({ name: instance.name, instances: rosterSize }));
+		this.roster.update(heard, nowMs + this.clockMs);
 		this.sync.tick(nowMs + this.clockMs);
 	}
 
@@ -122,7 +129,7 @@
 			isServing: true,
 			targetsDigest: this.knownStart,
 			coldTargets: this.sync.listReports(nowMs + this.clockMs),
-			rosterSize: this.sync.rosterSize,
+			rosterSize: this.roster.size,
 		} as unknown as PeerState;
 		const count = Math.min(GOSSIP_FAN_OUT, instances.length - 1);
 		for (let sent = 0; sent < count; sent++) {
--- a/packages/gateway/test/node/coldTargetSync.test.ts
+++ b/packages/gateway/test/node/coldTargetSync.test.ts
@@ -3,6 +3,7 @@
 import type { PeerMessage } from '../../src/common/peerMessage.js';
 import type { ColdTargetReport, PeerState } from '../../src/common/peerState.js';
 import { ColdnessSource } from '../../src/common/peerState.js';
+import { InstanceRoster } from '../../src/common/instanceRoster.js';
 import { TargetTable } from '../../src/common/targetTable.js';
 import type { ColdTargetSyncParts } from '../../src/node/coldTargetSync.js';
 import { ColdTargetSync } from '../../src/node/coldTargetSync.js';
@@ -29,8 +30,10 @@
 describe('ColdTargetSync', () => {
 	let targets: TargetTable;
 	let sent: PeerMessage[];
+	let roster: InstanceRoster;
 
 	beforeEach(() => {
+		roster = new InstanceRoster({ isFirstStart: false, shareWindowMs: 11_000, seeds: 1 });
 		targets = new TargetTable('a');
 		sent = [];
 	});
@@ -43,7 +46,7 @@
 			bounds: { excess: 1.5, extra: 5 },
 			isFirstStart: false,
 			getService: () => SERVICE,
-			listPeers: () => [makeState(undefined)],
+			roster,
 			broadcast: (message) => {
 				sent.push(message);
 			},
@@ -55,7 +58,7 @@
 
 	function makeState(coldTargets: readonly ColdTargetReport[] | undefined): PeerState {
 		const state = { instance: { name: 'edge-2' }, isServing: true, targetsDigest: DIGEST, coldTargets };
-		return { ...state, rosterSize: 2 } as unknown as PeerState;
+		return state as unknown as PeerState;
 	}
 
 	function list(sync: ColdTargetSync, ids: readonly string[], nowMs: number, startedAtMs = 1): void {
@@ -86,7 +89,7 @@
 		targets.recordZoneReturn('a', 10);
 		expect(targets.computePause('engines', undefined, 10)).to.equal(0);
 		expect([readRemaining('x', 10), readRemaining('y', 10)]).to.deep.equal([0, 0]);
-		expect([sync.listReports(10), sync.rosterSize, sent.length]).to.deep.equal([undefined, undefined, 0]);
+		expect([sync.listReports(10), sent.length]).to.deep.equal([undefined, 0]);
 	});
 
 	it('targets that run when the fleet first starts are warm; one that appears later, or starts again, is cold', () => {
@@ -160,6 +163,7 @@
 		const sync = createSync({ isFirstStart: true });
 		list(sync, ['x', 'y'], 0);
 		for (const nowMs of [0, 2000]) {
+			roster.update([{ name: 'edge-2', instances: 2 }], nowMs);
 			sync.tick(nowMs);
 		}
 		targets.find('x')?.coldness.recordStatement(3000, 2000);
