Spend the retry budget only on requests that have a target left

What callers saw: 503 although a further target and budget were there. Cause: the budget was taken before a target was chosen, also for a request that had none left; with two targets that reject, each request cost two retries. Change: choose first; without a target the request ends and costs nothing.

--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -200,13 +200,17 @@
 	private sendNext(): void {
 		const placement = this.placement.chooseNext();
 		if (placement === undefined) {
-			const { reason, detail } = this.placement.describeMissing();
-			this.endWithFailure(reason, detail);
+			this.endWithoutTarget();
 			return;
 		}
 		this.sendOrEnd(placement);
 	}
 
+	private endWithoutTarget(): void {
+		const { reason, detail } = this.placement.describeMissing();
+		this.endWithFailure(reason, detail);
+	}
+
 	private sendOrEnd(placement: Placement): void {
 		if (!this.send(placement)) {
 			this.endWithFailure(
@@ -404,12 +408,21 @@
 		load?: string,
 	): void {
 		const decision = this.decide(mayHaveRun);
-		const isFurtherAttempt = decision === 'retry' || decision === 'resume';
-		const hasRetryBudget =
-			!isFurtherAttempt || this.history.sends === 0 || this.parts.acquireRetry(this.placement.service);
+		if (decision !== 'retry' && decision !== 'resume') {
+			this.logFailure(failure, detail, mayHaveRun, decision, load);
+			this.endWithFailure(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
+			return;
+		}
+		const placement = this.placement.chooseNext();
+		if (placement === undefined) {
+			this.logFailure(failure, detail, mayHaveRun, decision, load);
+			this.endWithoutTarget();
+			return;
+		}
+		const hasRetryBudget = this.history.sends === 0 || this.parts.acquireRetry(this.placement.service);
 		this.logFailure(failure, detail, mayHaveRun, hasRetryBudget ? decision : 'retryDenied', load);
-		if (isFurtherAttempt && hasRetryBudget) {
-			this.sendNext();
+		if (hasRetryBudget) {
+			this.sendOrEnd(placement);
 			return;
 		}
 		this.endWithFailure(failure === 'rejected' ? 'targetsBusy' : 'noTarget', detail);
