Keep the limits of targets divided while instances do not hear one another

Cause: the limit of a target was divided among the instances heard of in the last 1.5 s, so that instances cut off from each other each took all of it. Change: an instance that does not hear most of the roster keeps the division among all of it, and uses half of its part, since the others may have taken over the other parts.

--- a/packages/gateway/src/common/instanceRoster.ts
+++ b/packages/gateway/src/common/instanceRoster.ts
@@ -25,6 +25,13 @@
 	readonly instances: number | undefined;
 }
 
+/** The instances that share a limit, as one of them sees them. */
+export interface LimitUsers {
+	readonly others: readonly string[];
+	/** If not, instances that are not heard of may use their parts, or have taken over those of the others. */
+	readonly hearsMajority: boolean;
+}
+
 export interface RosterOptions {
 	/** Whether the whole fleet starts for the first time, so that no earlier run has used a share. */
 	readonly isFirstStart: boolean;
@@ -90,6 +97,15 @@
 		return nowMs - this.majorityAtMs <= MAJORITY_VALIDITY_MS;
 	}
 
+	/**
+	 * Finds the instances among which a limit is divided whose parts others may take over at once.
+	 * @param serving names of the other instances that serve, as far as they are heard of
+	 */
+	public findUsers(serving: readonly string[], nowMs: number): LimitUsers {
+		const hearsMajority = this.hasMajority(nowMs);
+		return { others: hearsMajority ? serving : this.users.map(({ name }) => name), hearsMajority };
+	}
+
 	/**
 	 * Returns the share of this instance in a limit of the whole fleet. It is 0 while an earlier run of this instance may
 	 * have used the share, others may still use more than theirs, or they may no longer count this instance.
--- a/packages/gateway/src/common/requestLimitShare.ts
+++ b/packages/gateway/src/common/requestLimitShare.ts
@@ -18,19 +18,28 @@
 /** Instances that may use a target beyond one for each request a second; each may send one request at any moment. */
 const EXTRA_INSTANCES = 3;
 
+/**
+ * Part of its share that an instance uses that does not hear most others, one of which may be using the same share: all
+ * together stay within one and a half times the limit.
+ */
+const MINORITY_USE = 0.5;
+
 /**
  * Returns the requests a second that an instance may send to a target; 0 if it may send none.
  * @param targetHash hash of the target's id
- * @param others the other instances that serve
+ * @param others the other instances that share the limit
+ * @param hearsMajority whether this instance hears most of the instances
  */
 export function computeLimitShare(
 	requestsPerSecond: number,
 	targetHash: number,
 	self: LimitUser,
 	others: readonly LimitUser[],
+	hearsMajority: boolean,
 ): number {
 	const users = Math.min(others.length + 1, Math.floor(requestsPerSecond) + EXTRA_INSTANCES);
-	return findUserRank(targetHash, self, others) < users ? requestsPerSecond / users : 0;
+	const use = hearsMajority ? 1 : MINORITY_USE;
+	return findUserRank(targetHash, self, others) < users ? (use * requestsPerSecond) / users : 0;
 }
 
 /** Returns the rank of an instance among those that may use a target, by rendezvous hashing; 0 is the first. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -244,8 +244,11 @@
 			targets: this.targets,
 			log,
 			ownName: settings.self.name,
-			listOthers: () =>
-				this.membership.peers.listServing(performance.now()).map(({ instance }) => instance.name),
+			findUsers: () => {
+				const nowMs = performance.now();
+				const serving = this.membership.peers.listServing(nowMs).map(({ instance }) => instance.name);
+				return this.roster.findUsers(serving, nowMs);
+			},
 		});
 		this.brittlenessSync = new BrittlenessSync({
 			targets: this.targets,
--- a/packages/gateway/src/node/requestLimitSync.ts
+++ b/packages/gateway/src/node/requestLimitSync.ts
@@ -1,5 +1,6 @@
 /** Keeps the limits that targets name in force in the whole fleet: gossips them and divides them among the instances. */
 import type { EventLog } from '../common/eventLog.js';
+import type { LimitUsers } from '../common/instanceRoster.js';
 import type { TargetLimitReport } from '../common/peerState.js';
 import type { LimitUser } from '../common/requestLimitShare.js';
 import { computeLimitShare, createLimitUser } from '../common/requestLimitShare.js';
@@ -14,28 +15,30 @@
 	readonly targets: TargetTable;
 	readonly log: EventLog;
 	readonly ownName: string;
-	/** Lists the names of the other instances that serve. */
-	readonly listOthers: () => readonly string[];
+	readonly findUsers: () => LimitUsers;
 }
 
 export class RequestLimitSync {
 	private readonly self: LimitUser;
 	private others: readonly LimitUser[] = [];
+	private hearsMajority = false;
 
 	constructor(private readonly parts: RequestLimitSyncParts) {
 		this.self = createLimitUser(parts.ownName);
 	}
 
-	/** Called periodically: divides the limits anew if the instances that serve have changed. */
+	/** Called periodically: divides the limits anew if the instances that share them have changed. */
 	public tick(nowMs: number): void {
-		const names = this.parts.listOthers();
+		const { others, hearsMajority } = this.parts.findUsers();
 		if (
-			names.length === this.others.length &&
-			names.every((name, index) => name === this.others[index]?.name)
+			hearsMajority === this.hearsMajority &&
+			others.length === this.others.length &&
+			others.every((name, index) => name === this.others[index]?.name)
 		) {
 			return;
 		}
-		this.others = names.map(createLimitUser);
+		this.others = others.map(createLimitUser);
+		this.hearsMajority = hearsMajority;
 		for (const target of this.parts.targets.all) {
 			this.updateShare(target, nowMs);
 		}
@@ -108,7 +111,11 @@
 	private updateShare({ nameHash, requestLimit }: TargetState, nowMs: number): void {
 		const { requestsPerSecond } = requestLimit;
 		if (requestsPerSecond !== undefined) {
-			requestLimit.setShare(computeLimitShare(requestsPerSecond, nameHash, this.self, this.others), nowMs);
+			const { self, others, hearsMajority } = this;
+			requestLimit.setShare(
+				computeLimitShare(requestsPerSecond, nameHash, self, others, hearsMajority),
+				nowMs,
+			);
 		}
 	}
 }
--- a/packages/gateway/test/model/requestLimits.test.ts
+++ b/packages/gateway/test/model/requestLimits.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { InstanceRoster } from '../../src/common/instanceRoster.js';
 import { computeLimitShare, createLimitUser } from '../../src/common/requestLimitShare.js';
 import { TargetRequestLimit } from '../../src/common/targetRequestLimit.js';
 
@@ -47,7 +48,7 @@
 				const self = users[index];
 				const others = users.filter((_, other) => other !== index && !isGone(other));
 				if (self !== undefined) {
-					limit.setShare(computeLimitShare(load.requestsPerSecond, TARGET_HASH, self, others), nowMs);
+					limit.setShare(computeLimitShare(load.requestsPerSecond, TARGET_HASH, self, others, true), nowMs);
 				}
 			}
 		}
@@ -94,3 +95,42 @@
 		}
 	}
 });
+
+describe('the parts of a limit while instances do not hear one another', () => {
+	const LIMIT = 8;
+
+	/** Returns the sum of the parts after a minute in which each instance hears only those of its group. */
+	function sumShares(instances: number, group: (index: number) => number): number {
+		const users = Array.from({ length: instances }, (_, index) => createLimitUser(`edge-${index}`));
+		const shares = users.map((self, index) => {
+			const roster = new InstanceRoster({ isFirstStart: true, shareWindowMs: 11_000, seeds: 3 });
+			const others = users.filter((user) => user !== self);
+			const heard = others.filter(({ name }) => group(Number(name.slice(5))) === group(index));
+			for (let nowMs = 0; nowMs < 80_000; nowMs += 500) {
+				const peers = nowMs < 20_000 ? others : heard;
+				roster.update(
+					peers.map(({ name }) => ({ name, instances: undefined })),
+					nowMs,
+					0,
+				);
+			}
+			const names = heard.map(({ name }) => name);
+			const { others: sharers, hearsMajority } = roster.findUsers(names, 80_000);
+			return computeLimitShare(LIMIT, TARGET_HASH, self, sharers.map(createLimitUser), hearsMajority);
+		});
+		return shares.reduce((sum, share) => sum + share, 0);
+	}
+
+	for (const instances of [4, 28, 79, 323]) {
+		// Guards against instances that each take the whole limit of a target.
+		it(`${instances} instances that are cut off from each other together stay within what a target allows`, () => {
+			for (const group of [
+				(index: number) => index,
+				(index: number) => index % 2,
+				(index: number) => Number(index % 4 === 0),
+			]) {
+				expect(sumShares(instances, group)).to.be.within(0.4 * LIMIT, 1.5 * LIMIT);
+			}
+		});
+	}
+});
