Go on with a stream only from an event that the caller got with an id

Cause: whether an answer can be gone on with was read from the caller's own Last-Event-Id, not from what had been forwarded. Change: an answer is resumed only if it is a stream of events that all had ids. The users' reports of error texts in a stream and of heads that break off cannot be shown here: eight answers of the next target, and heads cut at each byte by close and reset, held before the change as well.

--- a/packages/gateway/src/common/eventScanner.ts
+++ b/packages/gateway/src/common/eventScanner.ts
@@ -8,12 +8,16 @@
 	readonly bytes: Buffer;
 	/** Value of the `id` field; undefined for comments and for events without one. */
 	readonly id: string | undefined;
+	/** Whether the event has data but no id, so that a stream cannot be resumed after it. */
+	readonly isUnidentified: boolean;
 }
 
 /** Largest event that is buffered until it is complete. */
 const MAX_EVENT_BYTES = 1_048_576;
 const LF = 0x0a;
 const CR = 0x0d;
+const ID_FIELD = Buffer.from('id:');
+const DATA_FIELD = Buffer.from('data:');
 const EMPTY = Buffer.alloc(0);
 
 export class EventScanner {
@@ -37,7 +41,9 @@
 			const bytes = this.pending.subarray(0, end);
 			this.pending = this.pending.subarray(end);
 			this.searchStart = 0;
-			events.push({ bytes, id: readEventId(bytes) });
+			const id = readField(bytes, ID_FIELD);
+			const isUnidentified = id === undefined && readField(bytes, DATA_FIELD) !== undefined;
+			events.push({ bytes, id, isUnidentified });
 		}
 		return events;
 	}
@@ -66,14 +72,14 @@
 	}
 }
 
-function readEventId(bytes: Buffer): string | undefined {
+/** Returns the value of the first field with the name, which includes the colon; undefined if there is none. */
+function readField(bytes: Buffer, name: Buffer): string | undefined {
 	let start = 0;
 	while (start < bytes.length) {
 		const lineEnd = bytes.indexOf(LF, start);
 		const end = lineEnd < 0 ? bytes.length : lineEnd;
-		// The bytes of `id:`.
-		if (bytes[start] === 0x69 && bytes[start + 1] === 0x64 && bytes[start + 2] === 0x3a) {
-			return bytes.toString('utf8', start + 3, end).trim();
+		if (bytes.subarray(start, start + name.length).equals(name)) {
+			return bytes.toString('utf8', start + name.length, end).trim();
 		}
 		start = end + 1;
 	}
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -1,4 +1,5 @@
 /** Handles a target's response to one attempt: relays it, buffers it until it is complete, or discards it. */
+import type { ScannedEvent } from '../common/eventScanner.js';
 import { EventScanner } from '../common/eventScanner.js';
 import type { TargetResponseInfo } from '../common/gatewayRequest.js';
 import { isNotExecutedStatus } from '../common/gatewayRequest.js';
@@ -51,7 +52,7 @@
 	readonly readLastEventId: () => string | undefined;
 	readonly onRequestWriting: () => void;
 	/** Called before an event is sent to the caller. */
-	readonly onEvent: (id: string | undefined) => void;
+	readonly onEvent: (event: ScannedEvent) => void;
 	/** Called before the first part of the response is sent to the caller. */
 	readonly onResponseStarted: () => void;
 	readonly onResult: (result: AttemptResult) => void;
@@ -201,7 +202,7 @@
 				continue;
 			}
 			this.startStream();
-			this.options.onEvent(event.id);
+			this.options.onEvent(event);
 			this.write(event.bytes);
 		}
 		if (this.scanner.isOverflowing) {
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -40,6 +40,8 @@
 	private ticket: AdmissionTicket | undefined;
 	private lastEventId: string | undefined;
 	private hasForwardedEvents = false;
+	/** Whether the caller got events that no later attempt can be told of. */
+	private hasUnidentifiedEvents = false;
 	/** A target's 5xx response, which the caller gets if no further attempt succeeds. */
 	private fallback: { readonly head: ResponseHead; readonly body: Buffer } | undefined;
 	private isEnded = false;
@@ -234,11 +236,12 @@
 			onRequestWriting: () => {
 				this.handleRequestWriting();
 			},
-			onEvent: (id) => {
+			onEvent: ({ id, isUnidentified }) => {
 				this.recordAnswering(attempt);
 				this.placement.recordEvent(attempt, !this.hasForwardedEvents);
 				this.hasForwardedEvents = true;
 				this.lastEventId = id ?? this.lastEventId;
+				this.hasUnidentifiedEvents ||= isUnidentified;
 			},
 			onResponseStarted: () => {
 				this.recordAnswering(attempt);
@@ -448,7 +451,7 @@
 				sends: this.history.sends,
 				hasEligibleTarget: this.history.hasEligibleTarget,
 				hasResponseStarted: this.callerResponse.hasStarted,
-				isResumable: route.isResumable && this.lastEventId !== undefined,
+				isResumable: route.isResumable && this.hasResumePoint,
 				hasTimeLeft: this.deadlineAtMs - performance.now() > MIN_ATTEMPT_MS,
 			},
 			mayHaveRun,
@@ -483,6 +486,11 @@
 		this.end('refused', { status, reason, detail, retryAfterMs });
 	}
 
+	/** Whether the answer is a stream that another attempt can go on with. */
+	private get hasResumePoint(): boolean {
+		return this.hasForwardedEvents && !this.hasUnidentifiedEvents && this.lastEventId !== undefined;
+	}
+
 	/** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
 	private get priority(): number {
 		return computePriority(this.input);
