Forget instances that neither the fleet nor the store hears of any more

What callers saw: nothing yet; found by a model of the new roster: after the loss of half of the instances for good, the rest had no majority and no slack ever. Cause: an instance was removed only by instances that hear most of the roster. Change: also if the store has named lately those that reach it and all of them are heard; an instance that hears no other registers there. One that reaches neither uses no share by then.

--- a/packages/gateway/src/common/instanceRoster.ts
+++ b/packages/gateway/src/common/instanceRoster.ts
@@ -6,7 +6,7 @@
 import type { LimitUser } from './requestLimitShare.js';
 import { createLimitUser } from './requestLimitShare.js';
 
-/** Time without a message after which an instance is removed, if most others are still heard of. */
+/** Time without a message after which an instance is removed, if most others are still heard of, or nobody else runs. */
 const RETENTION_MS = 20_000;
 /** Part of the instances that must be heard of before any is removed; at most one side of a partition hears of more. */
 const MIN_HEARD_SHARE = 0.5;
@@ -32,6 +32,14 @@
 	readonly hearsMajority: boolean;
 }
 
+/** The other instances that the settings, the store and peers name. */
+export interface NamedInstances {
+	/** Number of them, heard of or not. */
+	readonly count: number;
+	/** Whether the store has named lately the instances that reach it; those that hear no other are among them. */
+	readonly isComplete: boolean;
+}
+
 export interface RosterOptions {
 	/** Whether the whole fleet starts for the first time, so that no earlier run has used a share. */
 	readonly isFirstStart: boolean;
@@ -118,18 +126,17 @@
 		return isCounted ? limit / this.instances : 0;
 	}
 
-	/**
-	 * Called periodically with the peers that are heard of now.
-	 * @param named number of other instances that the settings and the store name, heard of or not
-	 */
-	public update(heard: readonly HeardInstance[], nowMs: number, named = this.options.seeds): void {
+	/** Called periodically with the peers that are heard of now. */
+	public update(heard: readonly HeardInstance[], nowMs: number, named: NamedInstances): void {
 		const previousInstances = this.instances;
 		let hasChanged = false;
 		for (const { name } of heard) {
 			hasChanged ||= !this.heardAtMs.has(name);
 			this.heardAtMs.set(name, nowMs);
 		}
-		if (heard.length + 1 > MIN_HEARD_SHARE * (this.heardAtMs.size + 1)) {
+		const hearsMost = heard.length + 1 > MIN_HEARD_SHARE * (this.heardAtMs.size + 1);
+		// Instances that reach neither the store nor this one use no shares by the time they are removed.
+		if (hearsMost || (named.isComplete && named.count <= heard.length)) {
 			for (const [name, atMs] of this.heardAtMs) {
 				if (nowMs - atMs > RETENTION_MS) {
 					this.heardAtMs.delete(name);
@@ -140,7 +147,7 @@
 		if (hasChanged) {
 			this.users = [...this.heardAtMs.keys()].map(createLimitUser);
 		}
-		this.named = named;
+		this.named = named.count;
 		hasChanged = this.updateUnknown(heard) || hasChanged;
 		hasChanged = this.updateMembership(heard.length, nowMs) || hasChanged;
 		this.updateMajority(heard, nowMs);
--- a/packages/gateway/src/node/fleetMembership.ts
+++ b/packages/gateway/src/node/fleetMembership.ts
@@ -4,6 +4,7 @@
 import { isAddress, sampleAddresses, splitAddress } from '../common/addresses.js';
 import type { EventLog } from '../common/eventLog.js';
 import { computePeerInterval, countHeartbeatGroups, GOSSIP_INTERVAL_MS } from '../common/gossipInterval.js';
+import type { NamedInstances } from '../common/instanceRoster.js';
 import type { MetadataStore } from '../common/metadataStore.js';
 import type { HeartbeatMessage } from '../common/peerMessage.js';
 import { encodePeerMessage } from '../common/peerMessage.js';
@@ -33,8 +34,10 @@
 const UNKNOWN_ADDRESS_ROUNDS = 3;
 /** How long state is sent to an address that never answers. */
 const CANDIDATE_TTL_MS = 30_000;
-/** How long a seed that never answers counts as an instance after the start, and after a read of the instances. */
+/** How long a seed that never answers counts as an instance after the start. */
 const SEED_RETENTION_MS = 20_000;
+/** How long the instances that the store named count as those that run. */
+const DISCOVERY_VALIDITY_MS = 1.5 * DISCOVERY_INTERVAL_MS;
 /** A state that was under way for longer is dropped; the peer would have been discarded by then. */
 const MAX_STATE_AGE_MS = 4000;
 /** Minimum time between two logged errors. */
@@ -168,18 +171,18 @@
 	}
 
 	/**
-	 * Returns the number of other instances that the settings, the store and peers name, heard of or not. A seed that never
-	 * answers counts until the store has named the instances that run without it.
+	 * Describes the other instances that the settings, the store and peers name. A seed that never answers counts until the
+	 * store has named the instances that run without it.
 	 */
-	public countNamed(nowMs: number): number {
-		const includesSeeds =
-			nowMs - this.startedAtMs < SEED_RETENTION_MS || nowMs - this.discoveredAtMs > SEED_RETENTION_MS;
+	public describeNamed(nowMs: number): NamedInstances {
+		const isComplete = nowMs - this.discoveredAtMs <= DISCOVERY_VALIDITY_MS;
+		const includesSeeds = nowMs - this.startedAtMs < SEED_RETENTION_MS || !isComplete;
 		let count = 0;
 		for (const [address, expiresAtMs] of this.candidates) {
 			const isNamed = expiresAtMs === Infinity ? includesSeeds : nowMs <= expiresAtMs;
 			count += isNamed && address !== this.parts.self.controlAddress ? 1 : 0;
 		}
-		return count;
+		return { count, isComplete };
 	}
 
 	/** Returns the mean age of the states of the peers in ms. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -612,7 +612,7 @@
 			name: instance.name,
 			instances: rosterSize,
 		}));
-		this.roster.update(heard, nowMs, this.membership.countNamed(nowMs));
+		this.roster.update(heard, nowMs, this.membership.describeNamed(nowMs));
 	}
 
 	/** Lets this instance serve once it has caught up, and gossips at once when it starts or stops serving. */
--- a/packages/gateway/test/common/instanceRoster.test.ts
+++ b/packages/gateway/test/common/instanceRoster.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { InstanceRoster } from '../../src/common/instanceRoster.js';
 
+const UNNAMED = { count: 0, isComplete: false };
 const OPTIONS = { isFirstStart: false, shareWindowMs: 11_000, seeds: 3 };
 
 describe('InstanceRoster', () => {
@@ -8,7 +9,7 @@
 
 	function updateWith(roster: InstanceRoster, count: number, fromMs: number, toMs: number): void {
 		for (let nowMs = fromMs; nowMs <= toMs; nowMs += 500) {
-			roster.update(fleet.slice(0, count), nowMs);
+			roster.update(fleet.slice(0, count), nowMs, UNNAMED);
 		}
 	}
 
@@ -35,11 +36,12 @@
 		updateWith(roster, 9, 0, 1000);
 		updateWith(roster, 3, 1500, 120_000);
 		expect(roster.size).to.equal(10);
-		roster.update(fleet, 120_500);
+		roster.update(fleet, 120_500, UNNAMED);
 		for (let nowMs = 121_000; nowMs <= 145_000; nowMs += 500) {
 			roster.update(
 				fleet.slice(0, 6).map(({ name }) => ({ name, instances: undefined })),
 				nowMs,
+				UNNAMED,
 			);
 		}
 		expect(roster.size).to.equal(7);
@@ -49,13 +51,13 @@
 	it('counts the instances that the settings and the store name until they are heard of, and retains lost ones', () => {
 		const roster = new InstanceRoster(OPTIONS);
 		expect(roster.instances).to.equal(4);
-		roster.update([], 0, 5);
+		roster.update([], 0, { count: 5, isComplete: false });
 		expect(roster.instances).to.equal(6);
 		const two = fleet.slice(0, 2).map(({ name }) => ({ name, instances: undefined }));
-		roster.update(two, 100, 0);
+		roster.update(two, 100, UNNAMED);
 		expect(roster.instances).to.equal(3);
-		roster.update([], 5000, 0);
-		roster.update([], 60_000, 0);
+		roster.update([], 5000, UNNAMED);
+		roster.update([], 60_000, UNNAMED);
 		expect(roster.instances).to.equal(3);
 	});
 
@@ -96,6 +98,7 @@
 			roster.update(
 				fleet.map(({ name }) => ({ name, instances: 9 })),
 				nowMs,
+				UNNAMED,
 			);
 		}
 		expect(roster.computeShare(20, 30_000)).to.equal(0);
@@ -103,7 +106,7 @@
 
 	it('gives an instance without any other the whole limit', () => {
 		const roster = new InstanceRoster({ ...OPTIONS, isFirstStart: true, seeds: 0 });
-		roster.update([], 0);
+		roster.update([], 0, UNNAMED);
 		expect(roster.computeShare(20, 0)).to.equal(20);
 		const later = new InstanceRoster({ ...OPTIONS, seeds: 0 });
 		updateWith(later, 0, 0, 10_500);
@@ -111,4 +114,20 @@
 		updateWith(later, 0, 11_000, 11_000);
 		expect(later.computeShare(20, 11_000)).to.equal(20);
 	});
+
+	// Guards against a fleet that has lost half of its instances for good and waits for a majority of them for ever.
+	it('forgets instances that neither it nor the store hears of, but not those that the store names', () => {
+		for (const [count, size] of [
+			[3, 4],
+			[4, 10],
+		] as const) {
+			const roster = new InstanceRoster(OPTIONS);
+			updateWith(roster, 9, 0, 20_000);
+			const heard = fleet.slice(0, 3).map(({ name }) => ({ name, instances: undefined }));
+			for (let nowMs = 20_500; nowMs <= 60_000; nowMs += 500) {
+				roster.update(heard, nowMs, { count, isComplete: true });
+			}
+			expect([roster.size, roster.computeShare(20, 60_000)]).to.deep.equal([size, size === 4 ? 5 : 0]);
+		}
+	});
 });
--- a/packages/gateway/test/model/coldTargets.test.ts
+++ b/packages/gateway/test/model/coldTargets.test.ts
@@ -117,7 +117,7 @@
 		const heard = this.peers
 			.listAll()
 			.map(({ instance, rosterSize }) => ({ name: instance.name, instances: rosterSize }));
-		this.roster.update(heard, nowMs + this.clockMs);
+		this.roster.update(heard, nowMs + this.clockMs, { count: 0, isComplete: false });
 		this.sync.tick(nowMs + this.clockMs);
 	}
 
--- a/packages/gateway/test/model/requestLimits.test.ts
+++ b/packages/gateway/test/model/requestLimits.test.ts
@@ -111,7 +111,7 @@
 				roster.update(
 					peers.map(({ name }) => ({ name, instances: undefined })),
 					nowMs,
-					0,
+					{ count: 0, isComplete: false },
 				);
 			}
 			const names = heard.map(({ name }) => name);
--- a/packages/gateway/test/model/retryBudgets.test.ts
+++ b/packages/gateway/test/model/retryBudgets.test.ts
@@ -6,6 +6,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { GOSSIP_FAN_OUT, GOSSIP_INTERVAL_MS } from '../../src/common/gossipInterval.js';
+import type { NamedInstances } from '../../src/common/instanceRoster.js';
 import { InstanceRoster } from '../../src/common/instanceRoster.js';
 import type { PeerState } from '../../src/common/peerState.js';
 import { PeerTable } from '../../src/common/peerTable.js';
@@ -21,6 +22,8 @@
 /** Repeats that a failing request asks for. */
 const REPEATS = 3;
 const SEEDS = 3;
+/** Instances that keep an entry in the store, of those that hear one another. */
+const REGISTRARS = 6;
 
 interface Scenario {
 	readonly instances: number;
@@ -37,6 +40,7 @@
 	/** Instances that run before `changeAtMs`, and from then on; the others are gone, or do not run yet. */
 	readonly running?: readonly [(index: number) => boolean, (index: number) => boolean];
 	readonly changeAtMs?: number;
+	readonly isStoreDown?: boolean;
 	/** When targets fail. */
 	readonly failuresMs: readonly (readonly [number, number])[];
 }
@@ -66,12 +70,12 @@
 		return `edge-${this.index}`;
 	}
 
-	public tick(nowMs: number): void {
+	public tick(nowMs: number, named: NamedInstances): void {
 		this.peers.expire(nowMs + this.clockMs);
 		const heard = this.peers
 			.listAll()
 			.map(({ instance, rosterSize }) => ({ name: instance.name, instances: rosterSize }));
-		this.roster.update(heard, nowMs + this.clockMs, 0);
+		this.roster.update(heard, nowMs + this.clockMs, named);
 	}
 
 	public buildState(): PeerState {
@@ -132,12 +136,27 @@
 					this.sendState(instance, nowMs);
 				}
 				if (turnMs % (this.instances.length > 100 ? LARGE_TICK_MS : GOSSIP_INTERVAL_MS) === 0) {
-					instance.tick(nowMs);
+					instance.tick(nowMs, this.describeNamed(instance, nowMs));
 				}
 			}
 		}
 	}
 
+	/** Describes whom the store names: the first of those that hear one another, up to a limit. */
+	private describeNamed({ index, peers }: ModelInstance, nowMs: number): NamedInstances {
+		const { isStoreDown = false, group = () => 0 } = this.scenario;
+		const ranks = new Map<number, number>();
+		const named = this.instances.filter((other) => {
+			const key = this.isConnected(index, other.index, nowMs) ? -1 : group(other.index);
+			const rank = ranks.get(key) ?? 0;
+			ranks.set(key, rank + 1);
+			return other.index !== index && this.isRunning(other.index, nowMs) && rank < REGISTRARS;
+		});
+		const heard = new Set(peers.listAll().map(({ instance }) => instance.name));
+		const unheard = named.filter(({ name }) => !heard.has(name)).length;
+		return isStoreDown ? { count: 0, isComplete: false } : { count: heard.size + unheard, isComplete: true };
+	}
+
 	private sendState(instance: ModelInstance, nowMs: number): void {
 		const others = this.instances.length - 1;
 		const count = Math.min(GOSSIP_FAN_OUT, others);
--- a/packages/gateway/test/node/coldTargetSync.test.ts
+++ b/packages/gateway/test/node/coldTargetSync.test.ts
@@ -163,7 +163,7 @@
 		const sync = createSync({ isFirstStart: true });
 		list(sync, ['x', 'y'], 0);
 		for (const nowMs of [0, 2000]) {
-			roster.update([{ name: 'edge-2', instances: 2 }], nowMs);
+			roster.update([{ name: 'edge-2', instances: 2 }], nowMs, { count: 1, isComplete: true });
 			sync.tick(nowMs);
 		}
 		targets.find('x')?.coldness.recordStatement(3000, 2000);
