Do not take the only version on an instance's list for that of a stream while it hears few others

Cause: a stream that nobody remembered went on at the only version of the list, if that was at most 2 s old, even if no peer replied. A target that joins after a cut can begin streams elsewhere within that time. Change: most of the instances that are asked must reply, and this instance must hear most of the fleet.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -298,6 +298,7 @@
 			send: (controlAddress, message) => {
 				this.membership.sendMessage(encodePeerMessage(message), controlAddress);
 			},
+			hearsMajority: () => this.roster.hasMajority(performance.now()),
 			describeVersions: (service) => {
 				const nowMs = performance.now();
 				return this.versionHistory.describe(service, this.view.computeAge(nowMs), nowMs);
--- a/packages/gateway/src/node/streamOriginSync.ts
+++ b/packages/gateway/src/node/streamOriginSync.ts
@@ -18,6 +18,8 @@
 /** Time after which those that have not answered are asked again, since datagrams get lost. */
 const REPEAT_MS = 60;
 const QUERY_TIMEOUT_MS = 250;
+/** Part of the instances that are asked, and this one, that must have replied before a stream without a record goes on. */
+const MIN_REPLY_SHARE = 0.5;
 /** Age up to which an instance that starts is told of origins: callers resume a stream soon after it breaks. */
 const MAX_TOLD_AGE_MS = 20_000;
 /** Limit of the origins in one datagram. */
@@ -31,6 +33,8 @@
 export interface StreamOriginSyncParts {
 	readonly listPeers: () => readonly OriginHolder[];
 	readonly send: (controlAddress: string, message: StreamOriginMessage) => void;
+	/** Whether this instance hears most of the fleet; the others may know of versions and streams that it does not. */
+	readonly hearsMajority: () => boolean;
 	/** Describes what this instance knows of the versions of a service. */
 	readonly describeVersions: (service: string) => VersionOpinion;
 }
@@ -40,6 +44,8 @@
 	readonly opinions: VersionOpinion[];
 	readonly settle: (lookup: OriginLookup) => void;
 	readonly service: string;
+	/** Number of instances that were asked. */
+	readonly asked: number;
 }
 
 export class StreamOriginSync {
@@ -60,8 +66,8 @@
 	}
 
 	/**
-	 * Finds what began the stream that a caller resumes. If no instance knows, it must have been the only version of the
-	 * service, unless there were several.
+	 * Finds what began the stream that a caller resumes. If most instances that may know reply that they do not, it must have
+	 * been the only version of the service, unless there were several.
 	 * @param attemptId undefined if the caller does not name its attempt
 	 */
 	public async find(attemptId: string | undefined, service: string): Promise<OriginLookup> {
@@ -72,7 +78,7 @@
 		const id = attemptId ?? '';
 		const asked = rankOriginHolders(id, this.parts.listPeers(), ASKED_INSTANCES);
 		if (asked.length === 0) {
-			return decideOrigin(service, [this.parts.describeVersions(service)], true);
+			return this.decideOrigin(service, [this.parts.describeVersions(service)], asked.length);
 		}
 		return this.ask(id, service, asked);
 	}
@@ -120,7 +126,7 @@
 			};
 			const repeatTimer = setTimeout(sendToUnanswered, REPEAT_MS);
 			const timer = setTimeout(() => {
-				settle(decideOrigin(service, opinions, false));
+				settle(this.decideOrigin(service, opinions, asked.length));
 			}, QUERY_TIMEOUT_MS);
 			const settle = (lookup: OriginLookup): void => {
 				clearTimeout(repeatTimer);
@@ -128,7 +134,7 @@
 				this.queries.delete(query);
 				resolve(lookup);
 			};
-			this.queries.set(query, { unanswered, opinions, settle, service });
+			this.queries.set(query, { unanswered, opinions, settle, service, asked: asked.length });
 			sendToUnanswered();
 		});
 	}
@@ -164,18 +170,16 @@
 			pending.opinions.push(opinion);
 		}
 		if (pending.unanswered.size === 0) {
-			pending.settle(decideOrigin(pending.service, pending.opinions, true));
+			pending.settle(this.decideOrigin(pending.service, pending.opinions, pending.asked));
 		}
 	}
-}
 
-function decideOrigin(
-	service: string,
-	opinions: readonly VersionOpinion[],
-	hasAllReplies: boolean,
-): OriginLookup {
-	const version = findCommonVersion(opinions);
-	return version === undefined
-		? { kind: 'unknown', hasAllReplies }
-		: { kind: 'known', origin: { service, version } };
+	/** @param opinions those of this instance and of the instances that have replied */
+	private decideOrigin(service: string, opinions: readonly VersionOpinion[], asked: number): OriginLookup {
+		const hasMostReplies = opinions.length > MIN_REPLY_SHARE * (asked + 1) && this.parts.hearsMajority();
+		const version = hasMostReplies ? findCommonVersion(opinions) : undefined;
+		return version === undefined
+			? { kind: 'unknown', hasAllReplies: opinions.length === asked + 1 && hasMostReplies }
+			: { kind: 'known', origin: { service, version } };
+	}
 }
--- a/packages/gateway/test/model/streamOrigins.test.ts
+++ b/packages/gateway/test/model/streamOrigins.test.ts
@@ -113,6 +113,7 @@
 		const known: VersionOpinion = others.length > 0 ? { kind: 'several' } : { kind: 'sole', version };
 		return new StreamOriginSync({
 			listPeers: () => this.members.filter(({ name }) => name !== self.name),
+			hearsMajority: () => !self.isCut,
 			describeVersions: () => (isRestarted && others.length === 0 ? { kind: 'unknown' } : known),
 			send: (address, message) => {
 				const receiver = this.members.find(({ controlAddress }) => controlAddress === address);
