Let requests from before a suspension earn no retries

What callers saw: nothing yet; found by a search for further causes of the incident. Cause: the steady clock stands still while a machine is suspended, so requests from long before count as those of the window, and peers as just heard of. Change: the time of day tells of a suspension; the requests counted so far earn nothing any more, and after more than 7 s the part of the slack waits for a window. A time of day that is set forward costs the same.

--- a/packages/gateway/src/common/instanceRoster.ts
+++ b/packages/gateway/src/common/instanceRoster.ts
@@ -154,6 +154,11 @@
 		this.version += hasChanged || this.instances !== previousInstances ? 1 : 0;
 	}
 
+	/** Called when the clock has stood still: the peers were last heard of that much earlier. */
+	public recordSuspension(suspendedMs: number): void {
+		this.majorityAtMs -= suspendedMs;
+	}
+
 	private updateUnknown(heard: readonly HeardInstance[]): boolean {
 		const previous = this.unknown;
 		const stated = heard.map(({ instances }) => instances ?? 0);
--- a/packages/gateway/src/common/retryBudget.ts
+++ b/packages/gateway/src/common/retryBudget.ts
@@ -77,6 +77,11 @@
 		return true;
 	}
 
+	/** Called when the clock has stood still: the requests are older than it tells and may earn nothing any more. */
+	public forgetRequests(): void {
+		this.requestBuckets.splice(0);
+	}
+
 	/** Returns what was used and counted in the window that ends now. */
 	public describeUse(nowMs: number): RetryBudgetUse {
 		this.expire(nowMs);
--- a/packages/gateway/src/common/retryBudgets.ts
+++ b/packages/gateway/src/common/retryBudgets.ts
@@ -29,6 +29,13 @@
 		return this.getBudget(service).tryAcquire(nowMs, this.computeSlack(nowMs));
 	}
 
+	/** Called when the clock has stood still. */
+	public forgetRequests(): void {
+		for (const budget of this.budgets.values()) {
+			budget.forgetRequests();
+		}
+	}
+
 	public describe(service: string, nowMs: number): RetryBudgetState {
 		return {
 			...this.getBudget(service).describeUse(nowMs),
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -23,6 +23,7 @@
 import { MAX_RETRY_DELAY_MS } from '../common/retryBudget.js';
 import { PEER_ANSWER_MS, StartupCatchUp } from '../common/startupCatchUp.js';
 import { VersionHistory } from '../common/versionHistory.js';
+import { SuspensionDetector } from '../common/suspensionDetector.js';
 import type { TargetState } from '../common/targetState.js';
 import { TargetTable } from '../common/targetTable.js';
 import type { TargetListChange } from '../common/targetView.js';
@@ -134,6 +135,7 @@
 	private readonly targets: TargetTable;
 	private readonly roster: InstanceRoster;
 	private readonly retries: RetryBudgets;
+	private readonly suspension = new SuspensionDetector();
 	private readonly crashTracker: CrashTracker;
 	private readonly blockedPromptsSync: BlockedPromptsSync;
 	private readonly requestLimitSync: RequestLimitSync;
@@ -589,6 +591,7 @@
 
 	private tick(): void {
 		const nowMs = performance.now();
+		this.checkSuspension(nowMs);
 		this.evacuationSync.tick(nowMs);
 		this.membership.tick(nowMs);
 		this.updateRoster(nowMs);
@@ -608,6 +611,16 @@
 		this.checkServing(nowMs);
 	}
 
+	/** What counts in a window of time is older than it seems after a suspension. */
+	private checkSuspension(nowMs: number): void {
+		const suspendedMs = this.suspension.check(nowMs, Date.now());
+		if (suspendedMs > 0) {
+			this.retries.forgetRequests();
+			this.roster.recordSuspension(suspendedMs);
+			this.dependencies.log.write('state', 'suspended', { suspendedMs: Math.round(suspendedMs) });
+		}
+	}
+
 	private updateRoster(nowMs: number): void {
 		const heard = this.membership.peers.listAll().map(({ instance, rosterSize }) => ({
 			name: instance.name,
@@ -743,6 +756,7 @@
 
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
+		this.checkSuspension(nowMs);
 		const isAcquired = this.retries.tryAcquire(service, nowMs);
 		if (!isAcquired) {
 			this.logExhaustedBudget(service, nowMs);
--- a/packages/gateway/test/common/instanceRoster.test.ts
+++ b/packages/gateway/test/common/instanceRoster.test.ts
@@ -90,6 +90,18 @@
 		expect(roster.computeShare(20, 41_000)).to.equal(2);
 	});
 
+	it('gives an instance that was suspended for so long that the others may have removed it no share', () => {
+		const roster = new InstanceRoster(OPTIONS);
+		updateWith(roster, 9, 0, 20_000);
+		roster.recordSuspension(3000);
+		expect(roster.computeShare(20, 20_100)).to.equal(2);
+		roster.recordSuspension(30_000);
+		updateWith(roster, 9, 20_500, 32_000);
+		expect(roster.computeShare(20, 32_000)).to.equal(0);
+		updateWith(roster, 9, 32_500, 33_500);
+		expect(roster.computeShare(20, 33_500)).to.equal(2);
+	});
+
 	// Guards against an instance whose messages are lost, and whose share the others have taken over.
 	it('gives an instance that the others have removed no share', () => {
 		const roster = new InstanceRoster(OPTIONS);
--- a/packages/gateway/test/common/retryBudget.test.ts
+++ b/packages/gateway/test/common/retryBudget.test.ts
@@ -64,6 +64,19 @@
 		expect(taken).to.be.within(50, 100);
 	});
 
+	// Guards against requests from before a suspension that earn retries after it.
+	it('earns nothing with requests from before the clock stood still, and remembers the retries', () => {
+		const budget = new RetryBudget(SETTINGS);
+		for (let request = 0; request < 100; request++) {
+			budget.recordRequest(request * 50);
+		}
+		expect(takeAll(budget, 5000, 4)).to.equal(14);
+		budget.forgetRequests();
+		expect(takeAll(budget, 5100, 16)).to.equal(2);
+		budget.recordRequest(5200);
+		expect(budget.describeUse(5200)).to.deep.equal({ retries: 16, requests: 1 });
+	});
+
 	it('restores the slack when the window and the longest delay of a retry have passed', () => {
 		const budget = new RetryBudget(SETTINGS);
 		const first = takeAll(budget, 1000, 14);
