Move a stream that has begun off a silent target after 1.2 s only

What callers saw: the rest of a stream was run by two targets at once (TWICE). Cause: half a second of silence moved each resumable stream; a slow target sends an event in up to 0.8 s, and some go on with a request whose connection closed. Change: a stream of which the caller has events is moved after 1.2 s, when it is late wherever it goes on, and before callers give up at 2 s. Requests without events are moved as before.

--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -164,12 +164,17 @@
 		return 2 ** (-Math.max(0, nowMs - this.respondedAtMs) / SLOWDOWN_HALF_LIFE_MS);
 	}
 
+	/** Returns the time since the target last sent something. */
+	public computeSilence(nowMs: number): number {
+		return nowMs - this.lastActivityMs;
+	}
+
 	/** Whether requests of this instance are in flight and the target has sent nothing for too long. */
 	public isUnresponsive(nowMs: number): boolean {
 		return (
 			this.ownRequests > 0 &&
 			nowMs > this.firstByteDueAtMs &&
-			nowMs - this.lastActivityMs > UNRESPONSIVE_AFTER_MS
+			this.computeSilence(nowMs) > UNRESPONSIVE_AFTER_MS
 		);
 	}
 }
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -24,6 +24,11 @@
 
 /** No further attempt is sent if less than this is left before the deadline. */
 const MIN_ATTEMPT_MS = 30;
+/**
+ * Silence after which a stream that has begun is moved. It is late by then wherever it goes on, and a slow target may still
+ * work on it after its connection was closed; callers give up after 2 s.
+ */
+const MIN_STREAM_SILENCE_MS = 1200;
 /** Further time in which an instance to which a request is relayed may send nothing, since it tries targets itself. */
 const RELAY_MARGIN_MS = 1000;
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
@@ -161,6 +166,9 @@
 		if (attempt === undefined || !attempt.isSent || !attempt.target.isUnresponsive(nowMs)) {
 			return;
 		}
+		if (this.hasForwardedEvents && attempt.target.computeSilence(nowMs) < MIN_STREAM_SILENCE_MS) {
+			return;
+		}
 		const decision = this.decide(true);
 		if (!isIdempotent(this.input.route) || (decision !== 'retry' && decision !== 'resume')) {
 			return;
