Let the retry budgets log their exhaustion themselves

Cause: the composition root held the rate limit of a log line. Change: moved to RetryBudgets; logic unchanged.

--- a/packages/gateway/src/common/retryBudget.ts
+++ b/packages/gateway/src/common/retryBudget.ts
@@ -1,7 +1,7 @@
 /**
  * Limits the retries of one service over a sliding window, at one instance of a fleet. The conditions of all instances
  * and of all their earlier runs add up: no window has more retries than its requests and those of the window before it
- * have earned, plus the parts of the slack that are in use. docs/design/retryBudget.md has the proof.
+ * have earned, plus the parts of the slack that are in use. docs/design/retryBudget.md derives it.
  */
 
 export interface RetryBudgetSettings {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -54,8 +54,6 @@
 
 /** Interval of the periodic work of all components. */
 const TICK_INTERVAL_MS = 100;
-/** Minimum time between two log lines of the exhausted retry budget of a service. */
-const BUDGET_LOG_INTERVAL_MS = 1000;
 /** Share of a target's connections that the fleet may use; the older system has connections to it as well. */
 const MAX_CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 4;
@@ -159,8 +157,6 @@
 	private readonly placementAnnouncer: PlacementAnnouncer;
 	private readonly catchUp: StartupCatchUp;
 	private wasServing = false;
-	/** By service, when an exhausted retry budget is logged again. */
-	private readonly nextBudgetLogMs = new Map<string, number>();
 	/** When the active configuration was adopted. */
 	private configurationAdoptedAtMs = performance.now();
 	private readonly directory: InstanceDirectory;
@@ -182,7 +178,7 @@
 			shareWindowMs: settings.retries.windowMs + MAX_RETRY_DELAY_MS,
 			seeds: settings.seeds.filter((address) => address !== settings.self.controlAddress).length,
 		});
-		this.retries = new RetryBudgets(settings.retries, this.roster);
+		this.retries = new RetryBudgets(settings.retries, this.roster, log);
 		this.metrics = new GatewayMetrics(() => ({
 			configurationVersion: this.activeConfiguration.version,
 			targetsAgeMs: this.view.computeAge(performance.now()),
@@ -757,19 +753,7 @@
 	private acquireRetry(service: string): boolean {
 		const nowMs = performance.now();
 		this.checkSuspension(nowMs);
-		const isAcquired = this.retries.tryAcquire(service, nowMs);
-		if (!isAcquired) {
-			this.logExhaustedBudget(service, nowMs);
-		}
-		return isAcquired;
-	}
-
-	private logExhaustedBudget(service: string, nowMs: number): void {
-		if (nowMs >= (this.nextBudgetLogMs.get(service) ?? -Infinity)) {
-			this.nextBudgetLogMs.set(service, nowMs + BUDGET_LOG_INTERVAL_MS);
-			const budget = this.retries.describe(service, nowMs);
-			this.dependencies.log.write('state', 'retryBudgetExhausted', { service, ...budget });
-		}
+		return this.retries.tryAcquire(service, nowMs);
 	}
 
 	private computeConnectionLimit(service: string): number {
--- a/packages/gateway/test/model/retryBudgets.test.ts
+++ b/packages/gateway/test/model/retryBudgets.test.ts
@@ -63,7 +63,8 @@
 		this.peers = new PeerTable(this.name);
 		const shareWindowMs = WINDOW_MS + MAX_RETRY_DELAY_MS;
 		this.roster = new InstanceRoster({ isFirstStart, shareWindowMs, seeds: SEEDS });
-		this.budgets = new RetryBudgets({ ratio: RATIO, windowMs: WINDOW_MS, slack }, this.roster);
+		const settings = { ratio: RATIO, windowMs: WINDOW_MS, slack };
+		this.budgets = new RetryBudgets(settings, this.roster, { write: () => undefined });
 	}
 
 	public get name(): string {
