--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -613,7 +613,7 @@
 		if (suspendedMs > 0) {
 			this.retries.forgetRequests();
 			this.roster.recordSuspension(suspendedMs);
-			this.dependencies.log.write('state', 'suspended', { suspendedMs: Math.round(suspendedMs) });
+			this.dependencies.log.write('state', 'machineSuspended', { suspendedMs: Math.round(suspendedMs) });
 		}
 	}
 
