Break off answers without a length whose target died

What callers saw: a stream without a length, of which they had three events of six, ended as complete (200, whole body); on a route that may be resumed nobody went on with it, and half a body of another answer was delivered as the whole one.

Cause: the kernel ends the connections of a process that dies with FIN, as it ends those that the process closes itself. The end of the connection was taken for the end of the answer; only a reset was told apart. Class: the absence of a sign of failure is taken for a sign of success.

Change: before such an end is passed on, the connection pool looks for a sign that the target lives on: another connection that is still open 20 ms later, or a new one that is accepted, which then serves the next request. Without a sign the answer is broken: repeated, resumed or reset as any other. A target that is to stop may have closed its port, so its ends count. Events are not held back. `unframedEnd` says which sign it was, `attemptFailed` that there was none.

The tests of TargetConnection and fetchDocument now say that the target lives, as the option is required; what they check is unchanged.

--- a/packages/gateway/src/node/connectionPool.ts
+++ b/packages/gateway/src/node/connectionPool.ts
@@ -1,11 +1,14 @@
 /** Connection pool of this instance for one target. */
 import type { Disposable } from '@papayawell/core';
+import type { EndEvidence } from './targetConnection.js';
 import { TargetConnection } from './targetConnection.js';
 
 /** Within a region a connection takes a few ms; a longer wait means that the target or the network is down. */
 const CONNECT_TIMEOUT_MS = 300;
 /** How long an idle connection is reused if the target states no time-out. Below the common server default of 5 s. */
 const DEFAULT_IDLE_LIMIT_MS = 4000;
+/** Within this time the kernel closes all connections of a process that dies, and its port. */
+const DEATH_NOTICE_MS = 20;
 
 export class ConnectionPool implements Disposable {
 	private readonly connections = new Set<TargetConnection>();
@@ -15,10 +18,12 @@
 	/**
 	 * @param address IP address and port
 	 * @param onOpened called for each new connection
+	 * @param isToStop whether the target is expected to stop
 	 */
 	constructor(
 		address: string,
 		private readonly onOpened: () => void,
+		private readonly isToStop: () => boolean,
 	) {
 		const colon = address.lastIndexOf(':');
 		this.host = address.slice(0, colon);
@@ -50,6 +55,7 @@
 				host: this.host,
 				port: this.port,
 				connectTimeoutMs: CONNECT_TIMEOUT_MS,
+				findEndEvidence: () => this.findEndEvidence(),
 				onClosed: () => this.connections.delete(connection),
 			},
 			DEFAULT_IDLE_LIMIT_MS,
@@ -69,6 +75,33 @@
 		}
 	}
 
+	/** Finds out whether the target lives on after it has ended one of its connections; undefined if it does not. */
+	private async findEndEvidence(): Promise<EndEvidence | undefined> {
+		if (this.hasOpenConnection || [...this.connections].some(({ isConnecting }) => isConnecting)) {
+			await waitForNotices(DEATH_NOTICE_MS);
+			if (this.hasOpenConnection) {
+				return 'openConnection';
+			}
+		}
+		if (this.isToStop()) {
+			// It may have closed its port, so nothing tells its last answer from one that was broken off.
+			return 'plannedStop';
+		}
+		// A target at its limit of connections accepts the first one too, and then resets it.
+		const isAlive = (await this.probe(DEATH_NOTICE_MS)) || (await this.probe(0));
+		return isAlive ? 'newConnection' : undefined;
+	}
+
+	private get hasOpenConnection(): boolean {
+		return [...this.connections].some(({ isOpen }) => isOpen);
+	}
+
+	private probe(holdMs: number): Promise<boolean> {
+		return new Promise((resolve) => {
+			this.open().probe(holdMs, resolve);
+		});
+	}
+
 	private closeStale(nowMs: number): void {
 		for (const connection of this.connections) {
 			if (connection.isStale(nowMs)) {
@@ -77,3 +110,9 @@
 		}
 	}
 }
+
+/** Waits for a time, and until the event loop has handled what came in it. */
+async function waitForNotices(timeMs: number): Promise<void> {
+	await new Promise((resolve) => setTimeout(resolve, timeMs));
+	await new Promise((resolve) => setImmediate(resolve));
+}
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -207,6 +207,10 @@
 				this.metrics.countDecision('crossedAnswer');
 				log.write('decision', 'crossedAnswer', { id: attemptId, target });
 			},
+			isToStop: (target) => target.record.isLeaving || this.targets.isEvacuated(target),
+			onUnframedEnd: (target, attemptId, evidence) => {
+				log.write('routine', 'unframedEnd', { id: attemptId, target, evidence });
+			},
 			onTargetContact: () => {
 				this.pathMonitor.recordContact();
 			},
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -6,7 +6,12 @@
 import { parseBackOff } from '../common/targetBackOff.js';
 import type { TargetState } from '../common/targetState.js';
 import { ConnectionPool } from './connectionPool.js';
-import type { ConnectionFailure, ConnectionListener, TargetConnection } from './targetConnection.js';
+import type {
+	ConnectionFailure,
+	ConnectionListener,
+	EndEvidence,
+	TargetConnection,
+} from './targetConnection.js';
 import { isNotExecutedStatus } from '../common/gatewayRequest.js';
 import { fetchDocument } from './documentFetch.js';
 
@@ -54,6 +59,10 @@
 	readonly onConnectionOpened: () => void;
 	/** Called when a response is dropped because it belongs to another request. */
 	readonly onCrossedResponse: (target: string, attemptId: string) => void;
+	/** Whether a target is expected to stop, and may close its port before its last answer ends. */
+	readonly isToStop: (target: TargetState) => boolean;
+	/** Called when a response without a length counts as complete at the end of its connection. */
+	readonly onUnframedEnd: (target: string, attemptId: string, evidence: EndEvidence) => void;
 	/** Called when a target has sent something. */
 	readonly onTargetContact: () => void;
 	/** Called when a target announces in a response that it leaves. */
@@ -165,7 +174,9 @@
 		const key = `${id}@${address}@${startedAtMs}`;
 		let pool = this.pools.get(key);
 		if (pool === undefined) {
-			pool = new ConnectionPool(address, this.options.onConnectionOpened);
+			pool = new ConnectionPool(address, this.options.onConnectionOpened, () =>
+				this.options.isToStop(target),
+			);
 			this.pools.set(key, pool);
 		}
 		return pool;
@@ -281,6 +292,10 @@
 			this.isCrossed = false;
 			return false;
 		}
+		const { endEvidence } = this.connection;
+		if (endEvidence !== undefined) {
+			this.options.onUnframedEnd(this.target.record.id, this.outgoing.request.attemptId, endEvidence);
+		}
 		this.listener.onEnd();
 		return true;
 	}
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -29,10 +29,21 @@
 	onFailure(failure: ConnectionFailure, message: string): void;
 }
 
+/** What suggests that a target ended its answer by ending the connection, rather than that it died. */
+export type EndEvidence =
+	/** Another of its connections has stayed open. */
+	| 'openConnection'
+	/** It has accepted a new connection. */
+	| 'newConnection'
+	/** It was to stop. */
+	| 'plannedStop';
+
 export interface ConnectionOptions {
 	readonly host: string;
 	readonly port: number;
 	readonly connectTimeoutMs: number;
+	/** Called when the target ends the connection, and thereby an answer without a length; undefined if it has died. */
+	readonly findEndEvidence: () => Promise<EndEvidence | undefined>;
 	/** Called once, when the connection cannot carry another request. */
 	readonly onClosed: () => void;
 }
@@ -50,6 +61,9 @@
 	private idleSinceMs: number | undefined;
 	private idleLimitMs: number;
 	private pendingWrite: (() => void) | undefined;
+	/** Whether the target has ended its side of the connection. */
+	private hasPeerEnded = false;
+	private foundEvidence: EndEvidence | undefined;
 
 	/** @param defaultIdleLimitMs how long an idle connection is reused if the target states no keep-alive time-out */
 	constructor(
@@ -87,6 +101,20 @@
 		});
 	}
 
+	/** Whether the target holds the connection open. While paused it is not noticed when the target closes it. */
+	public get isOpen(): boolean {
+		return this.isConnected && !this.isClosed && !this.hasPeerEnded && !this.socket.isPaused();
+	}
+
+	public get isConnecting(): boolean {
+		return !this.isConnected && !this.isClosed;
+	}
+
+	/** Why the answer counts as complete; undefined if its framing tells. */
+	public get endEvidence(): EndEvidence | undefined {
+		return this.foundEvidence;
+	}
+
 	/** Whether the connection has carried a request before the present one, whose answer may come a second time. */
 	public get isReused(): boolean {
 		return this.hasCompletedRequest;
@@ -251,6 +279,7 @@
 	}
 
 	private handleEnd(): void {
+		this.hasPeerEnded = true;
 		const { parser, listener } = this;
 		if (parser !== undefined && listener !== undefined && parser.endsWithConnection) {
 			this.checkForReset(parser);
@@ -272,16 +301,29 @@
 				this.fail('broken', 'the connection was reset before the answer was whole');
 				return;
 			}
-			this.handleResponse(() => {
-				parser.finish();
-			});
-			this.markClosed();
-			if (this.isAwaitingResponse()) {
-				this.fail('broken', 'the connection ended with the answer to another request');
-			}
+			void this.checkForDeath(parser);
 		});
 	}
 
+	/** The kernel ends the connections of a process that dies in the same orderly way. */
+	private async checkForDeath(parser: ResponseParser): Promise<void> {
+		this.foundEvidence = await this.options.findEndEvidence();
+		if (!this.isAwaitingResponse()) {
+			return;
+		}
+		if (this.foundEvidence === undefined) {
+			this.fail('broken', 'the target died as the connection ended');
+			return;
+		}
+		this.handleResponse(() => {
+			parser.finish();
+		});
+		this.markClosed();
+		if (this.isAwaitingResponse()) {
+			this.fail('broken', 'the connection ended with the answer to another request');
+		}
+	}
+
 	private isAwaitingResponse(): boolean {
 		return this.listener !== undefined;
 	}
--- a/packages/gateway/test/node/documentFetch.test.ts
+++ b/packages/gateway/test/node/documentFetch.test.ts
@@ -37,7 +37,13 @@
 		});
 		await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
 		const { port } = server.address() as AddressInfo;
-		const options = { host: '127.0.0.1', port, connectTimeoutMs: 500, onClosed: () => undefined };
+		const options = {
+			host: '127.0.0.1',
+			port,
+			connectTimeoutMs: 500,
+			findEndEvidence: () => Promise.resolve('newConnection' as const),
+			onClosed: () => undefined,
+		};
 		return new TargetConnection(options, 4000);
 	}
 
--- a/packages/gateway/test/node/targetConnection.test.ts
+++ b/packages/gateway/test/node/targetConnection.test.ts
@@ -35,7 +35,9 @@
 	}
 
 	function connectTo(port: number, onClosed: () => void = () => undefined): TargetConnection {
-		return new TargetConnection({ host: '127.0.0.1', port, connectTimeoutMs: 500, onClosed }, 4000);
+		const findEndEvidence = (): Promise<'newConnection'> => Promise.resolve('newConnection');
+		const options = { host: '127.0.0.1', port, connectTimeoutMs: 500, findEndEvidence, onClosed };
+		return new TargetConnection(options, 4000);
 	}
 
 	function request(connection: TargetConnection, isAwaited = (): boolean => true): Promise<ReceivedResponse> {
