Drop the events that a caller who resumes a stream already has

What callers saw: a caller asked for what follows event 4; the target began the stream anew and the caller got events 1 to 6, so the ids went back and pieces came twice.

Cause: events were compared only with those that the same exchange had forwarded; the `Last-Event-Id` of the caller was passed on and forgotten.

Change: on a route that may be resumed the comparison begins at the caller's `Last-Event-Id`. Other routes are unchanged.

--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -48,7 +48,7 @@
 	readonly isStream: boolean;
 	/** Whether the attempt resumes a stream of which the caller already has a part. */
 	readonly isResumedStream: boolean;
-	/** Id of the last event that was sent to the caller. */
+	/** Id of the last event that the caller has, also from an earlier request that it resumes; undefined if none is known. */
 	readonly readLastEventId: () => string | undefined;
 	readonly onRequestWriting: () => void;
 	/** Called before an event is sent to the caller. */
@@ -79,6 +79,7 @@
 	private head: ResponseHead | undefined;
 	private readonly bufferedChunks: Buffer[] = [];
 	private bufferedBytes = 0;
+	private hasReceivedEvents = false;
 	/** Result to report when the discarded response has ended. */
 	private discardResult: AttemptResult | undefined;
 	private call: Call | undefined;
@@ -198,6 +199,7 @@
 
 	private forwardEvents(chunk: Buffer): void {
 		for (const event of this.scanner.add(chunk)) {
+			this.hasReceivedEvents = true;
 			if (event.id !== undefined && this.isDuplicateEvent(event.id)) {
 				continue;
 			}
@@ -227,7 +229,7 @@
 			});
 			return;
 		}
-		if (head.framing.kind === 'untilClose' && !this.options.response.hasStarted) {
+		if (head.framing.kind === 'untilClose' && !this.hasReceivedEvents && !this.options.response.hasStarted) {
 			// Nothing but its events tells a whole stream without a length from one that was broken off.
 			this.report({
 				kind: 'failed',
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -240,7 +240,7 @@
 			response: this.callerResponse,
 			isStream: route.kind === 'stream',
 			isResumedStream,
-			readLastEventId: () => (this.hasForwardedEvents ? this.lastEventId : undefined),
+			readLastEventId: () => (this.hasForwardedEvents || route.isResumable ? this.lastEventId : undefined),
 			onRequestWriting: () => {
 				this.handleRequestWriting();
 			},
