Reset broken answers to callers of HTTP/1.0

What callers saw: a stream whose target broke it off ended in order, with status 200 and no sign that it was not whole.

Cause: a started answer that cannot be completed was ended by closing the socket, for which the kernel sends FIN. A caller of HTTP/1.1 misses the last chunk; to one of HTTP/1.0 the end of the connection is the end of the body. Class: as for targets that die, an orderly end of a connection that is no proof of a whole answer, here on the other side.

Change: an answer whose end is that of the connection is reset.

Evidence: the new test in brokenStreams.test.ts got the end of the connection before, and ECONNRESET with the change. A gateway that is killed still ends such answers in order: only a length or chunks could tell.

--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -12,6 +12,8 @@
 	private hasHead = false;
 	private isEnded = false;
 	private bufferedBytes = 0;
+	/** Whether the caller takes an orderly end of the connection for the end of the body. */
+	private endsWithConnection = false;
 	private hasStallListener = false;
 
 	/**
@@ -105,6 +107,9 @@
 	/** Closes the connection of an incomplete response. */
 	public reset(): void {
 		this.isEnded = true;
+		if (this.endsWithConnection) {
+			this.response.socket?.resetAndDestroy();
+		}
 		this.response.destroy();
 	}
 
@@ -164,6 +169,7 @@
 		if (bodyBytes !== undefined) {
 			headers.push('Content-Length', String(bodyBytes));
 		}
+		this.endsWithConnection = bodyBytes === undefined && this.response.req.httpVersion === '1.0';
 		if (this.isClosing()) {
 			headers.push('Connection', 'close');
 		}
