Compare ids of events exactly

What callers saw: in a stream with ids from 2^53 on, event was missing after; of events whose id is empty, which clears the id, only the first came. Nothing had broken.

Cause: each event is compared with the last one, as floating-point numbers: large ids are rounded to the same number, and an empty text is 0.

Change: long decimal ids are compared digit by digit. An empty id counts as none, so that a stream is not resumed after it.

Whether ids of that size occur anywhere is not known.

--- a/packages/gateway/src/common/eventScanner.ts
+++ b/packages/gateway/src/common/eventScanner.ts
@@ -6,7 +6,7 @@
 export interface ScannedEvent {
 	/** The event, including the blank line that terminates it. */
 	readonly bytes: Buffer;
-	/** Value of the `id` field; undefined for comments and for events without one. */
+	/** Value of the `id` field; undefined if there is none or it is empty, and for comments. */
 	readonly id: string | undefined;
 	/** Whether the event has data but no id, so that a stream cannot be resumed after it. */
 	readonly isUnidentified: boolean;
@@ -41,7 +41,8 @@
 			const bytes = this.pending.subarray(0, end);
 			this.pending = this.pending.subarray(end);
 			this.searchStart = 0;
-			const id = readField(bytes, ID_FIELD);
+			const idText = readField(bytes, ID_FIELD);
+			const id = idText === '' ? undefined : idText;
 			const isUnidentified = id === undefined && readField(bytes, DATA_FIELD) !== undefined;
 			events.push({ bytes, id, isUnidentified });
 		}
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -1,4 +1,5 @@
 /** Handles a target's response to one attempt: relays it, buffers it until it is complete, or discards it. */
+import { isNoLaterEvent } from '../common/eventIds.js';
 import type { ScannedEvent } from '../common/eventScanner.js';
 import { EventScanner } from '../common/eventScanner.js';
 import type { TargetResponseInfo } from '../common/gatewayRequest.js';
@@ -216,7 +217,7 @@
 	/** A resumed stream may repeat events that the caller already has. */
 	private isDuplicateEvent(id: string): boolean {
 		const last = this.options.readLastEventId();
-		return last !== undefined && Number(id) <= Number(last);
+		return last !== undefined && isNoLaterEvent(id, last);
 	}
 
 	private endEvents(head: ResponseHead): void {
