State no length for event streams

What callers saw: a stream whose first target stated a length and broke off was gone on with at another one, and ended as complete in the middle of an event, where the length of the first answer was reached. The bytes beyond it stayed on the connection, in front of the next answer. Where the rest was shorter, the caller waited for bytes that nobody had; since events that a caller has are dropped, a single target could cause that as well.

Cause: the length of a target's answer was passed on, but a stream may consist of parts of several answers. Class: a property of one attempt is taken for one of the whole answer.

Change: event streams are sent in chunks, whatever the framing of the answers. Other bodies come from one attempt and keep their length.

--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -248,7 +248,7 @@
 	private startStream(): void {
 		if (!this.options.response.hasStarted && this.head !== undefined) {
 			this.options.onResponseStarted();
-			this.options.response.start(this.head);
+			this.options.response.startEvents(this.head);
 		}
 	}
 
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -58,6 +58,11 @@
 		this.bufferedBytes = 0;
 	}
 
+	/** Starts an event stream, without a length: another target may go on with it, and repeated events are dropped. */
+	public startEvents(head: ResponseHead): void {
+		this.writeHead(head, undefined);
+	}
+
 	/** Returns false under back-pressure that the memory does not allow to absorb: wait for `onDrain`. */
 	public write(chunk: Buffer): boolean {
 		const isTaken = this.response.write(chunk);
