--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -12,6 +12,8 @@
 	private hasHead = false;
 	private isEnded = false;
 	private bufferedBytes = 0;
+	/** Whether the caller takes an orderly end of the connection for the end of the body. */
+	private endsWithConnection = false;
 	private hasStallListener = false;
 
 	/**
@@ -56,6 +58,11 @@
 		this.bufferedBytes = 0;
 	}
 
+	/** Starts an event stream, without a length: another target may go on with it, and repeated events are dropped. */
+	public startEvents(head: ResponseHead): void {
+		this.writeHead(head, undefined);
+	}
+
 	/** Returns false under back-pressure that the memory does not allow to absorb: wait for `onDrain`. */
 	public write(chunk: Buffer): boolean {
 		const isTaken = this.response.write(chunk);
@@ -105,6 +112,9 @@
 	/** Closes the connection of an incomplete response. */
 	public reset(): void {
 		this.isEnded = true;
+		if (this.endsWithConnection) {
+			this.response.socket?.resetAndDestroy();
+		}
 		this.response.destroy();
 	}
 
@@ -164,6 +174,7 @@
 		if (bodyBytes !== undefined) {
 			headers.push('Content-Length', String(bodyBytes));
 		}
+		this.endsWithConnection = bodyBytes === undefined && this.response.req.httpVersion === '1.0';
 		if (this.isClosing()) {
 			headers.push('Connection', 'close');
 		}
