Send nothing in a planned stop that may outlast the process

Callers saw requests that came late in the grace period of a stopping instance taken, sent to a target and cut without an answer when the process exited, among them requests that may not be repeated.

Cause: whether a request is still served was decided by the time since SIGTERM alone (3.15 s with the directory's entries of 1 s) and once, when its head was read. How long the request may take did not count, and what was sent later was not checked: a body that came late, a wait for admission or for the origin of a stream, a retry, a resumption, a move off a silent target.

Now the exchange checks before each send whether the request should end before the process exits: its own limit lies before the exit, or what the latest requests of its route took, with a margin, does.

--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -34,6 +34,8 @@
 /** Lowest prefill rate of a busy engine; bounds how long an engine may send nothing before its first token. */
 const MIN_PREFILL_TOKENS_PER_MS = 10;
 
+const STOPPING_DETAIL = 'the instance stops before the request would end';
+
 export class Exchange {
 	private readonly placement: ExchangePlacement;
 	private readonly prompt: PromptChain;
@@ -43,6 +45,7 @@
 	private readonly deadlineAtMs: number;
 	private attempt: RunningAttempt | undefined;
 	private ticket: AdmissionTicket | undefined;
+	private firstSentAtMs: number | undefined;
 	private lastEventId: string | undefined;
 	private hasForwardedEvents = false;
 	/** Whether the caller got events that no later attempt can be told of. */
@@ -117,6 +120,10 @@
 			this.sendNext();
 			return;
 		}
+		if (!this.isEndExpectedBeforeExit) {
+			this.refuse('draining', STOPPING_DETAIL);
+			return;
+		}
 		const { body, customer, request, route } = this.input;
 		const remainingMs = this.deadlineAtMs - performance.now();
 		this.ticket = admission.open(
@@ -208,6 +215,10 @@
 	}
 
 	private sendNext(): void {
+		if (!this.isEndExpectedBeforeExit) {
+			this.refuse('draining', STOPPING_DETAIL);
+			return;
+		}
 		const placement = this.placement.chooseNext();
 		if (placement === undefined) {
 			this.endWithoutTarget();
@@ -235,6 +246,7 @@
 		const { target } = placement;
 		const isRelayed = placement.reason === 'relay';
 		const nowMs = performance.now();
+		this.firstSentAtMs ??= nowMs;
 		const isResumedStream = this.hasForwardedEvents;
 		const response = new AttemptResponse({
 			response: this.callerResponse,
@@ -299,6 +311,13 @@
 		};
 	}
 
+	private recordDuration(): void {
+		const { request, route } = this.input;
+		if (request.lastEventId === undefined && this.firstSentAtMs !== undefined) {
+			this.parts.durations.record(route.name, performance.now() - this.firstSentAtMs);
+		}
+	}
+
 	private recordAnswering({ run }: RunningAttempt): void {
 		if (run !== undefined) {
 			this.parts.crashes.recordAnswering(run, performance.now());
@@ -322,6 +341,7 @@
 		switch (result.kind) {
 			case 'delivered':
 				attempt.target.health.recordResponse(false, performance.now());
+				this.recordDuration();
 				if (isSuccess(result.status) && attempt.run !== undefined) {
 					this.parts.crashes.recordAnswered(attempt.run, performance.now());
 				}
@@ -460,7 +480,7 @@
 				hasEligibleTarget: this.history.hasEligibleTarget,
 				hasResponseStarted: this.callerResponse.hasStarted,
 				isResumable: route.isResumable && this.hasResumePoint,
-				hasTimeLeft: this.deadlineAtMs - performance.now() > MIN_ATTEMPT_MS,
+				hasTimeLeft: this.deadlineAtMs - performance.now() > MIN_ATTEMPT_MS && this.isEndExpectedBeforeExit,
 			},
 			mayHaveRun,
 		);
@@ -483,6 +503,10 @@
 			this.refuse('targetFailed', detail);
 			return;
 		}
+		if (!this.isEndExpectedBeforeExit) {
+			this.refuse('draining', detail);
+			return;
+		}
 		const refusal = this.placement.buildRefusal(reason, detail, performance.now());
 		this.refuse(refusal.reason, detail, refusal.returnDelayMs);
 	}
@@ -499,6 +523,13 @@
 		return this.hasForwardedEvents && !this.hasUnidentifiedEvents && this.lastEventId !== undefined;
 	}
 
+	/** Whether the request, if it is sent now, should end before this instance does. */
+	private get isEndExpectedBeforeExit(): boolean {
+		const { durations, readTimeToExit } = this.parts;
+		const remainingMs = this.deadlineAtMs - performance.now();
+		return durations.isEndExpected(this.input.route.name, readTimeToExit(), remainingMs);
+	}
+
 	/** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
 	private get priority(): number {
 		return computePriority(this.input);
@@ -509,6 +540,9 @@
 			return;
 		}
 		const wasSent = this.attempt?.isSent === true || this.history.runs > 0;
+		if (this.attempt !== undefined) {
+			this.recordDuration();
+		}
 		this.cancelAttempt();
 		if (this.callerResponse.hasStarted || this.fallback !== undefined) {
 			this.endWithFailure('timeout', 'the time limit passed');
--- a/packages/gateway/src/node/shutdown.ts
+++ b/packages/gateway/src/node/shutdown.ts
@@ -42,6 +42,19 @@
 		return this.state.kind !== 'serving';
 	}
 
+	/** Returns the time in which a response has to end, so that it leaves the process; infinity unless stopping. */
+	public computeTimeToExit(nowMs: number): number {
+		switch (this.state.kind) {
+			case 'serving':
+				return Infinity;
+			case 'announced':
+			case 'finishing':
+				return this.state.startedAtMs + this.parts.gracePeriodMs - KILL_MARGIN_MS - FLUSH_DELAY_MS - nowMs;
+			case 'ended':
+				return 0;
+		}
+	}
+
 	public start(): void {
 		if (this.state.kind !== 'serving') {
 			return;
