Keep connections open in a planned stop until their answers have left

Callers that read a large answer slowly saw it cut in the middle when the directory's entries of a stopping instance had expired, 3.15 s after SIGTERM, although the instance had seconds left to send it. A request that may not be repeated was lost that way with the work done.

Cause: `close()` and `closeIdleConnections()` of Node's HTTP server take a connection to be idle as soon as its response was ended, also while the bytes still wait in the process. With a memory budget the gateway takes a whole answer from the target ahead of a slow caller, so that may be most of it.

Now the listener alone is closed, by the method of the TCP server, and the idle connections are closed once no ended response waits to be sent; it is looked at in each tick of the stop. A request on a connection that stays open until then is refused with 503, as before.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import { Server as TcpServer } from 'node:net';
 import type { Disposable } from '@papayawell/core';
 import type { ConfigurationSnapshot } from '../common/activeConfiguration.js';
 import type { CallerLimits, Customer, Route } from '../common/gatewayConfiguration.js';
@@ -44,7 +45,8 @@
 export class CallerServer implements Disposable {
 	private readonly server: Server;
 	private readonly exchanges = new Set<Exchange>();
-	private pendingRequests = 0;
+	/** Responses that have not left the process whole. */
+	private readonly responses = new Set<ServerResponse>();
 	private isDraining = false;
 	private isRefusing = false;
 	private limits = DEFAULT_CALLER_LIMITS;
@@ -67,7 +69,7 @@
 
 	/** Number of requests whose response is not complete. */
 	public get requestsInFlight(): number {
-		return this.pendingRequests;
+		return this.responses.size;
 	}
 
 	public listen(): Promise<void> {
@@ -92,10 +94,18 @@
 		this.options.exchange.admission?.refuseAll();
 	}
 
-	/** Stops accepting connections and closes the idle ones. */
+	/** Stops accepting connections. */
 	public closeListener(): void {
-		this.server.close();
-		this.server.closeIdleConnections();
+		// The method of the HTTP server would also close connections that the runtime takes to be idle; see below.
+		TcpServer.prototype.close.call(this.server);
+	}
+
+	/** Closes the idle connections, once all answers have left the process. */
+	public closeIdleConnections(): void {
+		// The runtime takes a connection to be idle as soon as its answer is written, also if most of it waits to be sent.
+		if (![...this.responses].some(({ writableEnded }) => writableEnded)) {
+			this.server.closeIdleConnections();
+		}
 	}
 
 	/** Moves requests off targets that have stopped sending. */
@@ -117,7 +127,7 @@
 
 	private handle(message: IncomingMessage, response: ServerResponse, relayed?: RelayedRequest): void {
 		const receivedAtMs = performance.now();
-		this.pendingRequests += 1;
+		this.responses.add(response);
 		const { memory } = this.options;
 		const { codec } = this.options.exchange;
 		const request = codec.readRequest(message.method ?? '', message.url ?? '', message.rawHeaders);
@@ -128,7 +138,7 @@
 			(answer) => memory?.open(request.attemptId, answer),
 		);
 		response.once('close', () => {
-			this.pendingRequests -= 1;
+			this.responses.delete(response);
 			callerResponse.memory?.release();
 		});
 		const apiKey = codec.readApiKey(message.headers);
--- a/packages/gateway/src/node/shutdown.ts
+++ b/packages/gateway/src/node/shutdown.ts
@@ -77,6 +77,7 @@
 				if (nowMs - state.startedAtMs >= parts.entryTtlMs) {
 					parts.server.startRefusing();
 					parts.server.closeListener();
+					parts.server.closeIdleConnections();
 					this.state = { kind: 'finishing', startedAtMs: state.startedAtMs, idleSinceMs: undefined };
 				}
 				return;
@@ -88,6 +89,7 @@
 
 	private tickFinishing(state: Extract<ShutdownState, { kind: 'finishing' }>, nowMs: number): void {
 		const { server, gracePeriodMs, log } = this.parts;
+		server.closeIdleConnections();
 		const inFlight = server.requestsInFlight;
 		state.idleSinceMs = inFlight === 0 ? (state.idleSinceMs ?? nowMs) : undefined;
 		const isIdle = state.idleSinceMs !== undefined && nowMs - state.idleSinceMs >= FLUSH_DELAY_MS;
