Bound the parts in the index of a prefix cache

The index of what an engine has cached was bounded by tokens only.

The least recently used parts now yield beyond 4,096 for each engine as well.

--- a/packages/gateway/src/common/prefixCacheIndex.ts
+++ b/packages/gateway/src/common/prefixCacheIndex.ts
@@ -1,12 +1,14 @@
 /**
  * Estimates the contents of one engine's prefix cache from the prompts that were sent to it. The least
- * recently used parts are evicted when the estimated size exceeds the engine's capacity.
+ * recently used parts are evicted when the estimated size exceeds the engine's capacity, or there are too many.
  */
 import type { CachedLink, PromptChain } from './promptChain.js';
 import { listSharedLinks } from './promptChain.js';
 
 /** Share of an engine's KV cache that holds cached prefixes; requests in flight occupy the rest. */
 const PREFIX_CACHE_SHARE = 0.7;
+/** Limit of the parts of one engine, whatever their size: callers may state parts of few tokens, or of none. */
+const MAX_LINKS = 4096;
 
 export class PrefixCacheIndex {
 	/** Token counts by link hash, least recently used first. */
@@ -97,7 +99,7 @@
 
 	private evict(limit: number): void {
 		for (const hash of this.tokensByHash.keys()) {
-			if (this.tokens <= limit) {
+			if (this.tokens <= limit && this.tokensByHash.size <= MAX_LINKS) {
 				return;
 			}
 			this.remove(hash);
