Bound the prompt parts in an instance's state by their number

The state that an instance gossips lists its latest prompts, up to 150 of them, whatever their length. With prompts of very many parts the state did not fit into a datagram and was not sent at all ("state not sent: 124375 bytes exceed the limit of 60000"), so that its peers lost a sound instance. In a trial with two instances, 60 prompts of 1,200 parts to one of them within 5 s were enough: the other logged peerLost and had no peer. The prompts were also kept in full between two rounds, however many there were.

Before, the test found all ten long updates listed.

--- a/packages/gateway/src/common/promptUpdateBuffer.ts
+++ b/packages/gateway/src/common/promptUpdateBuffer.ts
@@ -10,6 +10,10 @@
 const ROUND_DELAY_MS = 100;
 /** Most recent updates that a message contains; peers receive the omitted ones with a snapshot. */
 const MAX_UPDATES = 150;
+/** Limit of the links in these updates; as text they take up to half of a datagram, which holds the whole state. */
+const MAX_LINKS = 1500;
+/** Hash and token count. */
+const NUMBERS_PER_LINK = 2;
 
 export class PromptUpdateBuffer {
 	private entries: { readonly update: PromptUpdate; readonly expiresAtMs: number }[] = [];
@@ -23,12 +27,27 @@
 		const update = { target, links };
 		const ttlMs = MESSAGES_PER_UPDATE * this.computeInterval(peers) + ROUND_DELAY_MS;
 		this.entries.push({ update, expiresAtMs: nowMs + ttlMs });
+		this.trim();
 	}
 
 	public list(nowMs: number): readonly PromptUpdate[] {
-		this.entries = this.entries.filter(({ expiresAtMs }) => expiresAtMs > nowMs).slice(-MAX_UPDATES);
+		this.entries = this.entries.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
 		return this.entries.map(({ update }) => update);
 	}
+
+	/** Omits the oldest updates beyond the limits. */
+	private trim(): void {
+		let kept = 0;
+		let numbers = 0;
+		for (const { update } of this.entries.toReversed()) {
+			numbers += update.links.length;
+			if (kept === MAX_UPDATES || numbers > MAX_LINKS * NUMBERS_PER_LINK) {
+				break;
+			}
+			kept += 1;
+		}
+		this.entries.splice(0, this.entries.length - kept);
+	}
 }
 
 export function decodeUpdateLinks({ links: encoded }: PromptUpdate): readonly CachedLink[] {
--- a/packages/gateway/test/common/promptUpdateBuffer.test.ts
+++ b/packages/gateway/test/common/promptUpdateBuffer.test.ts
@@ -2,6 +2,8 @@
 import { buildPromptChain } from '../../src/common/promptChain.js';
 import { PromptUpdateBuffer } from '../../src/common/promptUpdateBuffer.js';
 
+const HALF_DATAGRAM_BYTES = 30_000;
+
 describe('PromptUpdateBuffer', () => {
 	const chain = buildPromptChain([
 		{ id: 'a', tokens: 1200 },
@@ -26,4 +28,17 @@
 		expect(countRounds(78)).to.be.at.least(8);
 		expect(countRounds(322)).to.be.at.least(28);
 	});
+
+	// Guards against an instance that all peers take for dead, since its state does not fit into a datagram.
+	it('lists no more than half a datagram of updates, the latest ones, however many parts the prompts have', () => {
+		const buffer = new PromptUpdateBuffer();
+		const parts = Array.from({ length: 1000 }, (_, part) => ({ id: String(part), tokens: 999_999_999 }));
+		for (let index = 0; index < 10; index++) {
+			buffer.add(`large-${index}`, buildPromptChain(parts), 3, index);
+		}
+		buffer.add('latest', chain, 3, 10);
+		const updates = buffer.list(11);
+		expect(JSON.stringify(updates).length).to.be.below(HALF_DATAGRAM_BYTES);
+		expect(updates.map(({ target }) => target)).to.deep.equal(['large-9', 'latest']);
+	});
 });
