Join the small parts of a body while it is collected

One request within all limits ended the process: a chunked body of some hundred kilobytes up to max-body-bytes, sent in chunks of one byte. Each chunk was kept as a buffer object of its own until the body was whole, some hundred bytes beside the one that the budget of memory counts. In a trial with the program's flags (200 MB of old space) one such caller, and four at once, led to "Reached heap limit", with up to 476 MB resident, before 4 MB had arrived. An answer that is collected before it is sent had the same fault, for 256 KiB.

--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -4,6 +4,7 @@
 import type { TargetResponseInfo } from '../common/gatewayRequest.js';
 import { isNotExecutedStatus } from '../common/gatewayRequest.js';
 import type { ResponseHead } from '../common/responseParser.js';
+import { BodyParts } from './bodyParts.js';
 import type { CallerResponse } from './callerResponse.js';
 import type { Call, CallListener } from './targetClient.js';
 import type { ConnectionFailure } from './targetConnection.js';
@@ -77,8 +78,7 @@
 	private readonly scanner = new EventScanner();
 	private bodyMode: BodyMode = 'head';
 	private head: ResponseHead | undefined;
-	private readonly bufferedChunks: Buffer[] = [];
-	private bufferedBytes = 0;
+	private readonly buffered = new BodyParts();
 	/** Result to report when the discarded response has ended. */
 	private discardResult: AttemptResult | undefined;
 	private call: Call | undefined;
@@ -149,7 +149,7 @@
 			this.report({ kind: 'delivered', status: head.status });
 			return;
 		}
-		const body = Buffer.concat(this.bufferedChunks);
+		const body = this.buffered.take();
 		if (head.status >= 500) {
 			this.report({ kind: 'failureAnswer', head, body });
 			return;
@@ -182,18 +182,15 @@
 	}
 
 	private collectBody(chunk: Buffer): void {
-		this.bufferedChunks.push(chunk);
-		this.bufferedBytes += chunk.length;
-		this.options.response.recordBuffered(this.bufferedBytes);
-		if (this.bufferedBytes <= MAX_BUFFERED_BYTES || this.head === undefined) {
+		this.buffered.add(chunk);
+		this.options.response.recordBuffered(this.buffered.bytes);
+		if (this.buffered.bytes <= MAX_BUFFERED_BYTES || this.head === undefined) {
 			return;
 		}
 		this.bodyMode = 'relay';
 		this.options.onResponseStarted();
 		this.options.response.start(this.head);
-		for (const part of this.bufferedChunks.splice(0)) {
-			this.write(part);
-		}
+		this.write(this.buffered.take());
 	}
 
 	private forwardEvents(chunk: Buffer): void {
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -11,6 +11,7 @@
 import type { MemoryBudget } from '../common/memoryBudget.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import type { RefusalReason } from '../common/refusal.js';
+import { BodyParts } from './bodyParts.js';
 import { CallerResponse } from './callerResponse.js';
 import { Exchange } from './exchange.js';
 import type { ExchangeParts } from './exchangeParts.js';
@@ -173,8 +174,7 @@
 			this.refuse(received, 'memoryShort', configurationVersion);
 			return;
 		}
-		const parts: Buffer[] = [];
-		let bytes = 0;
+		const parts = new BodyParts();
 		let exchange: Exchange | undefined;
 		const timer = setTimeout(() => {
 			// The body did not arrive in time; an incomplete request gets no response.
@@ -184,14 +184,13 @@
 			message.removeAllListeners('data');
 			message.removeAllListeners('end');
 			clearTimeout(timer);
-			parts.length = 0;
+			parts.clear();
 			memory?.releaseBody();
 			this.refuse(received, reason, configurationVersion);
 		};
 		message.on('data', (part: Buffer) => {
-			parts.push(part);
-			bytes += part.length;
-			if (bytes > this.limits.maxBodyBytes) {
+			parts.add(part);
+			if (parts.bytes > this.limits.maxBodyBytes) {
 				refuseBody('bodyTooLarge');
 			} else if (memory?.addBody(part.length) === false) {
 				refuseBody('memoryShort');
@@ -199,9 +198,8 @@
 		});
 		message.on('end', () => {
 			clearTimeout(timer);
-			const body = parts.length === 1 ? (parts[0] ?? Buffer.alloc(0)) : Buffer.concat(parts);
 			// The request is reachable until its response is closed, which may be long after the body was needed.
-			parts.length = 0;
+			const body = parts.take();
 			const traits = {
 				fingerprint: computeFingerprint(customer?.name, request, body),
 				promptParts: listSharedPartKeys(request.prompt),
