Take no target for silent whose answer is not read

What callers saw: nothing at once. A stream whose caller paused for 1.6 s was moved to a second target, although its own was sending: the answer was put together from two runs, and a sound target got a failure on record.

Cause: while a caller is slow the gateway stops reading, and the target cannot send. The silence that this causes was taken for that of the target. Class: as a frozen process blames its peers, an own pause is taken for one of the other side.

Change: a request whose answer is not read does not make its target unresponsive, and its silence begins anew when reading goes on. This holds for the choice of targets too, which uses the same test.

--- a/packages/gateway/src/common/targetState.ts
+++ b/packages/gateway/src/common/targetState.ts
@@ -52,6 +52,9 @@
 	/** Until then the target wants no request from this instance. */
 	private backOffUntilMs = -Infinity;
 	private lastActivityMs = -Infinity;
+	/** Requests of this instance whose responses are not read, since their callers are slow. */
+	private unreadRequests = 0;
+	private readingResumedAtMs = -Infinity;
 	/** Until then a target that sends nothing is not considered hung, since it may be prefilling a prompt. */
 	private firstByteDueAtMs = -Infinity;
 
@@ -136,6 +139,16 @@
 		this.coldness.recordContact(nowMs);
 	}
 
+	/** Records that a response is not read for now, so that the target cannot send anything more of it. */
+	public recordReadingPaused(): void {
+		this.unreadRequests += 1;
+	}
+
+	public recordReadingResumed(nowMs: number): void {
+		this.unreadRequests -= 1;
+		this.readingResumedAtMs = nowMs;
+	}
+
 	public recordTimeToHead(elapsedMs: number, nowMs: number): void {
 		// What the target reports of its slowness counts by itself, and only while it is young.
 		const usualMs = elapsedMs / (this.statedLoad.isInUse ? this.statedLoad.estimateSlowdown(nowMs) : 1);
@@ -164,15 +177,15 @@
 		return 2 ** (-Math.max(0, nowMs - this.respondedAtMs) / SLOWDOWN_HALF_LIFE_MS);
 	}
 
-	/** Returns the time since the target last sent something. */
+	/** Returns the time since the target last sent something, as far as it could. */
 	public computeSilence(nowMs: number): number {
-		return nowMs - this.lastActivityMs;
+		return nowMs - Math.max(this.lastActivityMs, this.readingResumedAtMs);
 	}
 
-	/** Whether requests of this instance are in flight and the target has sent nothing for too long. */
+	/** Whether responses to this instance are awaited and the target has sent nothing for too long. */
 	public isUnresponsive(nowMs: number): boolean {
 		return (
-			this.ownRequests > 0 &&
+			this.ownRequests > this.unreadRequests &&
 			nowMs > this.firstByteDueAtMs &&
 			this.computeSilence(nowMs) > UNRESPONSIVE_AFTER_MS
 		);
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -188,6 +188,7 @@
 	private sentAtMs = 0;
 	private isSent = false;
 	private isCancelled = false;
+	private isPaused = false;
 	private isCrossed = false;
 	private crossedBytes = 0;
 
@@ -205,15 +206,24 @@
 
 	public cancel(): void {
 		this.isCancelled = true;
+		this.endPause();
 		this.connection.close();
 	}
 
 	public pause(): void {
-		this.connection.pause();
+		if (!this.isPaused) {
+			this.isPaused = true;
+			this.target.recordReadingPaused();
+			this.connection.pause();
+		}
 	}
 
+	/** Has no effect once the call has ended: its connection may carry another one by then. */
 	public resume(): void {
-		this.connection.resume();
+		if (this.isPaused) {
+			this.endPause();
+			this.connection.resume();
+		}
 	}
 
 	public onHead(head: ResponseHead): void {
@@ -296,16 +306,25 @@
 		if (endEvidence !== undefined) {
 			this.options.onUnframedEnd(this.target.record.id, this.outgoing.request.attemptId, endEvidence);
 		}
+		this.endPause();
 		this.listener.onEnd();
 		return true;
 	}
 
 	public onFailure(failure: ConnectionFailure, message: string): void {
+		this.endPause();
 		if (!this.isCancelled) {
 			this.listener.onFailure(failure, this.isSent, message);
 		}
 	}
 
+	private endPause(): void {
+		if (this.isPaused) {
+			this.isPaused = false;
+			this.target.recordReadingResumed(performance.now());
+		}
+	}
+
 	private handleRequestWriting(): boolean {
 		if (this.isCancelled) {
 			return false;
