Take line ends after the last event for no partial event

What callers saw: a whole stream that ended in one more line end was broken off, or begun again at another target, as if its last event were torn.

Cause: any byte after the last event counted as the beginning of another.

Change: line ends alone are no partial event; they are passed on.

Evidence: the new test in streams.test.ts ended in "socket hang up" before.

--- a/packages/gateway/src/common/eventScanner.ts
+++ b/packages/gateway/src/common/eventScanner.ts
@@ -26,7 +26,12 @@
 	private searchStart = 0;
 
 	public get hasPartialEvent(): boolean {
-		return this.pending.length > 0;
+		return this.pending.some((byte) => byte !== LF && byte !== CR);
+	}
+
+	/** Bytes after the last complete event; only line ends, unless there is a partial event. */
+	public get rest(): Buffer {
+		return this.pending;
 	}
 
 	public get isOverflowing(): boolean {
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -241,6 +241,7 @@
 			return;
 		}
 		this.startStream();
+		this.write(this.scanner.rest);
 		this.options.response.end();
 		this.report({ kind: 'delivered', status: head.status });
 	}
