Count the objects of requests and writes in the budget of memory

Requests that are within all limits could end the process at the limit of its heap (200 MB of old space), since only payload bytes were counted.

These objects now count in the budget from the arrival of a request on.

--- a/packages/gateway/src/common/memoryBudget.ts
+++ b/packages/gateway/src/common/memoryBudget.ts
@@ -1,7 +1,7 @@
 /**
- * Limits what one process holds for others: request bodies, and answers that were read from targets but not yet taken by
- * callers. As the budget fills, the answers with the most unread bytes are paused first, then answers whose callers take
- * nothing are lost, and at last request bodies are refused.
+ * Limits what one process holds for others: requests, their bodies, and answers that were read from targets but not yet
+ * taken by callers. As the budget fills, the answers with the most unread bytes are paused first, then answers whose
+ * callers take nothing are lost, and at last requests are refused.
  */
 import type { EventLog } from './eventLog.js';
 
@@ -10,6 +10,19 @@
  * and not yet collected, which may be as many bytes again.
  */
 const BUDGET_SHARE = 0.25;
+/**
+ * Share of the heap for the objects that are kept for requests. The rest is for the gateway's own state and for garbage;
+ * the runtime ends the process when the heap is full.
+ */
+const HEAP_SHARE = 0.5;
+/** Size of the objects that are kept for a request from its arrival to its end, beside what depends on its head. */
+const REQUEST_BYTES = 10_000;
+/** The same for each name and each value of its headers, beside the text. */
+const HEADER_TEXT_BYTES = 80;
+/** The same for each part of its prompt. */
+const PROMPT_PART_BYTES = 200;
+/** Size of the objects that the runtime keeps for a part of an answer that was written and not taken. */
+const WRITE_BYTES = 500;
 /** Free share of the budget below which memory is short, so that answers which stay unread are lost. */
 const SHORT_SHARE = 0.125;
 /** Free share of the budget from which on memory is no longer short. */
@@ -25,6 +38,8 @@
 export interface UnreadAnswer {
 	/** Bytes that are held because the caller has not taken them yet. */
 	readonly unreadBytes: number;
+	/** Number of writes that hold these bytes. */
+	readonly unreadWrites: number;
 	/** Has `recordStall` called once if the caller takes nothing for this time; it may be called at twice the time. */
 	watchForStall(limitMs: number): void;
 	/** Closes the caller's connection, so that the answer does not look complete. */
@@ -34,6 +49,17 @@
 export interface MemoryBudgetParts {
 	readonly log: EventLog;
 	readonly countDecision: (event: string) => void;
+	/** Size of the heap at which the runtime ends the process. */
+	readonly heapLimitBytes: number;
+}
+
+/**
+ * Estimates the size of the objects that are kept for a request while it runs or waits.
+ * @param headers names and values
+ */
+export function estimateRequestBytes(headers: readonly string[], promptParts: number): number {
+	const headBytes = headers.reduce((sum, text) => sum + text.length + HEADER_TEXT_BYTES, 0);
+	return REQUEST_BYTES + headBytes + promptParts * PROMPT_PART_BYTES;
 }
 
 /** @param memoryBytes memory that the process may use in all */
@@ -45,11 +71,15 @@
 	private readonly requests = new Set<HeldMemory>();
 	private totalBytes = 0;
 	private wasShort = false;
+	/** Bytes of the budget that a byte of the heap takes, so that neither the budget nor the heap's share is exceeded. */
+	private readonly heapWeight: number;
 
 	constructor(
 		public readonly limitBytes: number,
 		private readonly parts: MemoryBudgetParts,
-	) {}
+	) {
+		this.heapWeight = Math.max(1, limitBytes / (HEAP_SHARE * parts.heapLimitBytes));
+	}
 
 	public get heldBytes(): number {
 		return this.totalBytes;
@@ -59,9 +89,12 @@
 		return Math.max(0, this.limitBytes - this.totalBytes);
 	}
 
-	/** Starts the account of one request, which ends with `release`. */
-	public open(requestId: string, answer: UnreadAnswer): HeldMemory {
-		const held = new HeldMemory(this, requestId, answer);
+	/**
+	 * Starts the account of one request, which ends with `release`.
+	 * @param requestBytes size of the objects that are kept for it
+	 */
+	public open(requestId: string, answer: UnreadAnswer, requestBytes: number): HeldMemory {
+		const held = new HeldMemory(this, requestId, answer, this.weighHeapBytes(requestBytes));
 		this.requests.add(held);
 		return held;
 	}
@@ -71,6 +104,11 @@
 		return this.totalBytes + bytes <= this.limitBytes;
 	}
 
+	/** Returns how much of the budget objects of this size take. */
+	public weighHeapBytes(bytes: number): number {
+		return Math.ceil(bytes * this.heapWeight);
+	}
+
 	/** Called periodically: frees room if memory is short, and lets paused answers for which there is room go on. */
 	public tick(): void {
 		for (const held of this.requests) {
@@ -147,9 +185,12 @@
 		private readonly budget: MemoryBudget,
 		public readonly requestId: string,
 		private readonly answer: UnreadAnswer,
-	) {}
+		private readonly requestBytes: number,
+	) {
+		budget.add(requestBytes);
+	}
 
-	/** Bytes of the answer that the caller has not taken, as of the last update. */
+	/** What is held of the answer because the caller has not taken it, as of the last update. */
 	public get answerBytes(): number {
 		return this.unreadBytes;
 	}
@@ -177,11 +218,12 @@
 		this.bodyBytes = 0;
 	}
 
-	/** Records how many bytes of the answer are held at this moment. */
-	public recordAnswer(bytes: number): void {
+	/** Records how much of the answer is held at this moment, in how many writes. */
+	public recordAnswer(bytes: number, writes: number): void {
 		if (!this.isReleased) {
-			this.budget.add(bytes - this.unreadBytes);
-			this.unreadBytes = bytes;
+			const heldBytes = bytes + this.budget.weighHeapBytes(writes * WRITE_BYTES);
+			this.budget.add(heldBytes - this.unreadBytes);
+			this.unreadBytes = heldBytes;
 		}
 	}
 
@@ -213,9 +255,9 @@
 		if (this.unreadBytes === 0) {
 			return;
 		}
-		const { unreadBytes } = this.answer;
-		this.hasStalled &&= unreadBytes >= this.unreadBytes;
-		this.recordAnswer(unreadBytes);
+		const earlierBytes = this.unreadBytes;
+		this.recordAnswer(this.answer.unreadBytes, this.answer.unreadWrites);
+		this.hasStalled &&= this.unreadBytes >= earlierBytes;
 	}
 
 	/** While memory is short, has the caller of an unread answer watched; a stall of an earlier shortage is forgotten. */
@@ -246,7 +288,8 @@
 	public release(): void {
 		if (!this.isReleased) {
 			this.releaseBody();
-			this.recordAnswer(0);
+			this.recordAnswer(0, 0);
+			this.budget.add(-this.requestBytes);
 			this.resume = undefined;
 			this.hasStalled = false;
 			this.isReleased = true;
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -12,6 +12,7 @@
 	private hasHead = false;
 	private isEnded = false;
 	private bufferedBytes = 0;
+	private pendingWrites = 0;
 	private hasStallListener = false;
 
 	/**
@@ -31,6 +32,10 @@
 		return this.bufferedBytes + this.response.writableLength;
 	}
 
+	public get unreadWrites(): number {
+		return this.pendingWrites;
+	}
+
 	/** Whether the response head was sent. */
 	public get hasStarted(): boolean {
 		return this.hasHead;
@@ -47,7 +52,7 @@
 	/** Records how much of an answer is buffered before its first byte is sent. */
 	public recordBuffered(bytes: number): void {
 		this.bufferedBytes = bytes;
-		this.memory?.recordAnswer(this.unreadBytes);
+		this.memory?.recordAnswer(this.unreadBytes, this.unreadWrites);
 	}
 
 	/** Starts a target's response whose body is streamed; its content length is kept if it has one. */
@@ -58,11 +63,12 @@
 
 	/** Returns false under back-pressure that the memory does not allow to absorb: wait for `onDrain`. */
 	public write(chunk: Buffer): boolean {
-		const isTaken = this.response.write(chunk);
 		if (this.memory === undefined) {
-			return isTaken;
+			return this.response.write(chunk);
 		}
-		this.memory.recordAnswer(this.unreadBytes);
+		this.pendingWrites += 1;
+		const isTaken = this.response.write(chunk, this.handleWritten);
+		this.memory.recordAnswer(this.unreadBytes, this.unreadWrites);
 		return isTaken || !this.memory.shouldPause();
 	}
 
@@ -126,6 +132,10 @@
 		return refusal;
 	}
 
+	private readonly handleWritten = (): void => {
+		this.pendingWrites -= 1;
+	};
+
 	/** Sends a response that the gateway itself generates. */
 	private sendOwn(status: number, headers: Readonly<Record<string, string>>, detail: string): void {
 		if (this.hasHead || this.isEnded) {
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -9,6 +9,7 @@
 import type { GatewayRequest } from '../common/gatewayRequest.js';
 import { listSharedPartKeys } from '../common/promptChain.js';
 import type { MemoryBudget } from '../common/memoryBudget.js';
+import { estimateRequestBytes } from '../common/memoryBudget.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import type { RefusalReason } from '../common/refusal.js';
 import { BodyParts } from './bodyParts.js';
@@ -126,7 +127,12 @@
 			response,
 			(name) => codec.isForwardedToCaller(name),
 			() => this.isDraining,
-			(answer) => memory?.open(request.attemptId, answer),
+			(answer) =>
+				memory?.open(
+					request.attemptId,
+					answer,
+					estimateRequestBytes(message.rawHeaders, request.prompt.length),
+				),
 		);
 		response.once('close', () => {
 			this.pendingRequests -= 1;
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -1,4 +1,5 @@
 /** Composition root: the only module that wires the components of a gateway process. */
+import { getHeapStatistics } from 'node:v8';
 import type { Disposable } from '@papayawell/core';
 import { DisposableStore, toDisposable } from '@papayawell/core';
 import { ActiveConfiguration } from '../common/activeConfiguration.js';
@@ -712,6 +713,7 @@
 
 	private createMemoryBudget(memoryBytes: number): MemoryBudget {
 		return new MemoryBudget(computeBudgetBytes(memoryBytes), {
+			heapLimitBytes: getHeapStatistics().heap_size_limit,
 			log: this.dependencies.log,
 			countDecision: (event) => {
 				this.metrics.countDecision(event);
--- a/packages/gateway/test/common/memoryBudget.test.ts
+++ b/packages/gateway/test/common/memoryBudget.test.ts
@@ -1,11 +1,12 @@
 import { expect } from 'chai';
 import type { HeldMemory, UnreadAnswer } from '../../src/common/memoryBudget.js';
-import { computeBudgetBytes, MemoryBudget } from '../../src/common/memoryBudget.js';
+import { computeBudgetBytes, estimateRequestBytes, MemoryBudget } from '../../src/common/memoryBudget.js';
 
 const LIMIT_BYTES = 1000;
 
 class FakeAnswer implements UnreadAnswer {
 	public unreadBytes = 0;
+	public unreadWrites = 0;
 	public isWatched = false;
 	public isReset = false;
 
@@ -31,25 +32,52 @@
 				},
 			},
 			countDecision: () => undefined,
+			heapLimitBytes: Infinity,
 		});
 	});
 
 	function open(unreadBytes = 0): { held: HeldMemory; answer: FakeAnswer } {
 		const answer = new FakeAnswer();
-		const held = budget.open('1', answer);
+		const held = budget.open('1', answer, 0);
 		setUnread(held, answer, unreadBytes);
 		return { held, answer };
 	}
 
 	function setUnread(held: HeldMemory, answer: FakeAnswer, bytes: number): void {
 		answer.unreadBytes = bytes;
-		held.recordAnswer(bytes);
+		held.recordAnswer(bytes, 0);
 	}
 
 	it('an instance of 250 MB holds 62.5 MB', () => {
 		expect(computeBudgetBytes(250e6)).to.equal(62.5e6);
 	});
 
+	// Guards against a process that ends at its heap limit while all payload bytes are within the budget.
+	describe('objects on the heap', () => {
+		const heapLimitBytes = 216e6;
+		const log = { write: () => undefined };
+
+		for (const limitBytes of [computeBudgetBytes(250e6), computeBudgetBytes(870e6)]) {
+			it(`requests, and small writes that are not taken, take half of the heap at most of ${limitBytes} bytes`, () => {
+				const parts = { log, countDecision: () => undefined, heapLimitBytes };
+				const limited = new MemoryBudget(limitBytes, parts);
+				const headers = Array.from({ length: 100 }, () => 'x'.repeat(100));
+				// What such a request took of the heap: 10 kB, its text, and some hundred bytes for each header and part.
+				const requestBytes = estimateRequestBytes(headers, 100);
+				expect(requestBytes).to.be.within(30_000, 60_000);
+				let requests = 0;
+				const first = limited.open('1', new FakeAnswer(), requestBytes);
+				while (limited.hasRoomFor(0)) {
+					limited.open('1', new FakeAnswer(), requestBytes);
+					requests += 1;
+				}
+				expect(requests * requestBytes).to.be.within(heapLimitBytes / 4, heapLimitBytes / 2);
+				first.recordAnswer(50, 1);
+				expect(first.shouldPause()).to.equal(true);
+			});
+		}
+	});
+
 	it('a body that does not fit is refused, and one that fits then is accepted', () => {
 		const { held } = open(400);
 		expect(held.addBody(600)).to.equal(true);
--- a/packages/gateway/test/node/callerResponse.test.ts
+++ b/packages/gateway/test/node/callerResponse.test.ts
@@ -18,6 +18,7 @@
 	let server: Server;
 	let caller: Socket;
 	let held: HeldMemory;
+	let answer: CallerResponse;
 
 	beforeEach(async () => {
 		const response = new Promise<ServerResponse>((resolve) => {
@@ -28,9 +29,13 @@
 		await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
 		caller = connect((server.address() as AddressInfo).port, '127.0.0.1').pause();
 		caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
-		const budget = new MemoryBudget(1, { log: { write: () => undefined }, countDecision: () => undefined });
-		const open = (answer: UnreadAnswer): HeldMemory => (held = new HeldMemory(budget, '1', answer));
-		const answer = new CallerResponse(
+		const budget = new MemoryBudget(1, {
+			log: { write: () => undefined },
+			countDecision: () => undefined,
+			heapLimitBytes: Infinity,
+		});
+		const open = (unread: UnreadAnswer): HeldMemory => (held = new HeldMemory(budget, '1', unread, 0));
+		answer = new CallerResponse(
 			await response,
 			() => true,
 			() => false,
@@ -61,4 +66,21 @@
 		expect(held.isStalled).to.equal(false);
 		expect(held.answerBytes).to.be.above(ANSWER.length);
 	});
+
+	// Guards against a process that ends at its heap limit because of many small events for callers that do not read.
+	it('counts the writes that the caller has not taken, until it has', async () => {
+		for (let index = 0; index < 1000; index++) {
+			answer.write(Buffer.from('data: 1\n\n'));
+		}
+		expect(answer.unreadWrites).to.equal(1001);
+		const heldBytes = held.answerBytes;
+		expect(heldBytes).to.be.above(answer.unreadBytes + 1000 * 300);
+		caller.resume();
+		while (answer.unreadBytes > 0) {
+			await new Promise((resolve) => setTimeout(resolve, 10));
+		}
+		held.refresh();
+		expect(answer.unreadWrites).to.equal(0);
+		expect(held.answerBytes).to.equal(0);
+	});
 });
