--- a/packages/gateway/src/node/shutdown.ts
+++ b/packages/gateway/src/node/shutdown.ts
@@ -42,6 +42,19 @@
 		return this.state.kind !== 'serving';
 	}
 
+	/** Returns the time in which a response has to end, so that it leaves the process; infinity unless stopping. */
+	public computeTimeToExit(nowMs: number): number {
+		switch (this.state.kind) {
+			case 'serving':
+				return Infinity;
+			case 'announced':
+			case 'finishing':
+				return this.state.startedAtMs + this.parts.gracePeriodMs - KILL_MARGIN_MS - FLUSH_DELAY_MS - nowMs;
+			case 'ended':
+				return 0;
+		}
+	}
+
 	public start(): void {
 		if (this.state.kind !== 'serving') {
 			return;
@@ -64,6 +77,7 @@
 				if (nowMs - state.startedAtMs >= parts.entryTtlMs) {
 					parts.server.startRefusing();
 					parts.server.closeListener();
+					parts.server.closeIdleConnections();
 					this.state = { kind: 'finishing', startedAtMs: state.startedAtMs, idleSinceMs: undefined };
 				}
 				return;
@@ -75,6 +89,7 @@
 
 	private tickFinishing(state: Extract<ShutdownState, { kind: 'finishing' }>, nowMs: number): void {
 		const { server, gracePeriodMs, log } = this.parts;
+		server.closeIdleConnections();
 		const inFlight = server.requestsInFlight;
 		state.idleSinceMs = inFlight === 0 ? (state.idleSinceMs ?? nowMs) : undefined;
 		const isIdle = state.idleSinceMs !== undefined && nowMs - state.idleSinceMs >= FLUSH_DELAY_MS;
