Let an error in the handling of one request end that request only

Cause: what throws while a request is read or sent throws inside an event of the HTTP server, which nothing catches. Class: one request shares its fate with all others. The handling of a target's response is guarded already.

Change: the steps that a caller's request starts are guarded. An error closes the connection of this request, which cancels its exchange, and is logged as requestCrashed with the place where it was thrown. A closed connection promises nothing, as the request may have been sent.

Not covered: timers of an exchange and the reply of a peer about a stream.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -64,7 +64,9 @@
 				noDelay: true,
 			},
 			(message, response) => {
-				this.handle(message, response);
+				this.runStep(message, response, () => {
+					this.handle(message, response);
+				});
 			},
 		);
 	}
@@ -124,7 +126,20 @@
 
 	/** Handles a request that another instance relays to this one. */
 	public handleRelayed(message: IncomingMessage, response: ServerResponse, relayed: RelayedRequest): void {
-		this.handle(message, response, relayed);
+		this.runStep(message, response, () => {
+			this.handle(message, response, relayed);
+		});
+	}
+
+	/** Runs a step of one request. An error closes its connection, and does not end the process with all other requests. */
+	private runStep(message: IncomingMessage, response: ServerResponse, step: () => void): void {
+		try {
+			step();
+		} catch (error) {
+			const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+			this.options.exchange.log.write('state', 'requestCrashed', { path: message.url ?? '', detail });
+			response.destroy();
+		}
 	}
 
 	private handle(message: IncomingMessage, response: ServerResponse, relayed?: RelayedRequest): void {
@@ -212,7 +227,7 @@
 				refuseBody('memoryShort');
 			}
 		});
-		message.on('end', () => {
+		const start = (): void => {
 			clearTimeout(timer);
 			// The request is reachable until its response is closed, which may be long after the body was needed.
 			const body = parts.take();
@@ -239,6 +254,9 @@
 			exchange = started;
 			this.exchanges.add(started);
 			started.start();
+		};
+		message.on('end', () => {
+			this.runStep(message, response, start);
 		});
 		response.on('close', () => {
 			clearTimeout(timer);
