Wait at the start for addresses that are still taken

What was seen: a process that started while one of its addresses was held, by a draining predecessor or by an outgoing connection that had the port from the ephemeral range, logged startFailed with EADDRINUSE and exited with 1.

Cause: each address was bound once, and all of them at the same time.

Change: AddressWait repeats a bind that fails with EADDRINUSE or EADDRNOTAVAIL every 50 ms for up to 8 times the grace period, and logs addressInUse and addressAcquired once per address. Readiness and the directory are taken first and answer 503 until the gateway has started; the gateway is made anew for each try, so that its start-up times begin when it has its addresses and nothing of it is open meanwhile. The order is the same in each process, so two starts can't hold what the other needs. The gateway binds before it sends: a datagram from an unbound socket would bind it to another port. Metrics are not needed to serve, so their address is waited for in the background without limit. SIGTERM during the wait ends the process with 0 at once. An address that never gets free is still reported as before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 export { RELAY_HEADERS } from './common/relayHeaders.js';
 export type { TargetRecord } from './common/targetRecord.js';
 export type { ListedColdness, ListedTargets } from './common/targetView.js';
+export { AddressWait } from './node/addressWait.js';
 export type { Gateway, GatewayDependencies, GatewaySettings } from './node/gateway.js';
 export { createGateway } from './node/gateway.js';
 export { listenAt } from './node/listenAt.js';
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -115,10 +115,15 @@
 	explain(question: RequestQuestion): ExplainResult;
 }
 
-/** Starts a gateway. Rejects when an address can't be bound. */
+/** Starts a gateway. Rejects when an address can't be bound; nothing of the gateway remains then. */
 export async function createGateway(dependencies: GatewayDependencies): Promise<Gateway> {
 	const gateway = new GatewayProcess(dependencies);
-	await gateway.start();
+	try {
+		await gateway.start();
+	} catch (error) {
+		gateway.dispose();
+		throw error;
+	}
 	return gateway;
 }
 
@@ -546,8 +551,10 @@
 			});
 		});
 		this.disposables.add(restoreListener);
+		// Before anything is sent: a datagram that leaves an unbound socket binds it to another port.
+		await this.membership.listen();
+		await this.server.listen();
 		this.configurationSync.start();
-		await Promise.all([this.server.listen(), this.membership.listen()]);
 		const timer = setInterval(() => {
 			this.tick();
 		}, TICK_INTERVAL_MS);
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -70,9 +70,6 @@
 				this.handleDatagram(mark === RELAYED_MARK ? bytes.subarray(1) : bytes);
 			}
 		});
-		this.socket.on('error', (error) => {
-			options.onError(error.message);
-		});
 		this.server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (request, response) => {
 			const relayed = readRelayHeaders(request.headers);
 			if (relayed !== undefined) {
@@ -85,9 +82,6 @@
 			response.writeHead(document === undefined ? 404 : 200, { 'Content-Type': 'application/json' });
 			response.end(document);
 		});
-		this.server.on('error', (error) => {
-			options.onError(error.message);
-		});
 	}
 
 	public async listen(): Promise<void> {
@@ -97,6 +91,11 @@
 			this.socket.bind(port, host, resolve);
 		});
 		await listenAt(this.server, this.options.address);
+		for (const emitter of [this.socket, this.server]) {
+			emitter.on('error', (error: Error) => {
+				this.options.onError(error.message);
+			});
+		}
 	}
 
 	/**
