Read the body before a refusal that closes the connection

A caller that was still sending its body when a stopping instance refused it often got a reset in place of the 503. The reset promises nothing, so a request that may not be repeated was given up although it had not run.

Cause: a refusal was written as soon as the head was read. In a stop each answer closes its connection, and closing a socket with unread bytes resets it; a caller that is still writing sees EPIPE and may never read the answer. Outside a stop the connection stays open and Node.js reads the rest itself.

Now a refusal in a stop waits for the end of the body, which is dropped as it comes, within the idle time-out. This covers all refusals of the caller server, not only `draining`.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -244,7 +244,29 @@
 		});
 	}
 
-	private refuse(
+	/**
+	 * Refuses a request. If the connection is closed after the answer, the body is read first: with a part of it unread the
+	 * connection would be reset, and a caller that is still sending may not get the answer.
+	 */
+	private refuse(received: ReceivedRequest, reason: RefusalReason, version: number): void {
+		const { message } = received;
+		if (!this.isDraining || message.readableEnded) {
+			this.sendRefusal(received, reason, version);
+			return;
+		}
+		const timer = setTimeout(() => {
+			message.destroy();
+		}, this.limits.idleTimeoutMs);
+		message.once('end', () => {
+			this.sendRefusal(received, reason, version);
+		});
+		message.once('close', () => {
+			clearTimeout(timer);
+		});
+		message.resume();
+	}
+
+	private sendRefusal(
 		{ request, callerResponse, receivedAtMs }: ReceivedRequest,
 		reason: RefusalReason,
 		version: number,
