Look for silent targets after their data has been read

What callers saw: a gateway process that was stopped for 1.4 s moved its streams to other targets when it went on, although the first ones had been sending all the time. Answers were put together from two runs without need, and sound targets got failures on record.

Cause: after a time in which the process did not run, its timers come before the event loop reads from connections. The periodic check found targets that had sent nothing, with their events waiting in the kernel. Class, as with callers that pause: an own pause is taken for one of the other side.

Change: the check runs after the loop has polled, in a `setImmediate`, and so does the one for a lost path, which uses the same silence.

--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -133,6 +133,7 @@
 	private readonly targets: TargetTable;
 	private readonly roster: InstanceRoster;
 	private readonly retries: RetryBudgets;
+	private silenceCheck: NodeJS.Immediate | undefined;
 	private readonly suspension = new SuspensionDetector();
 	private readonly crashTracker: CrashTracker;
 	private readonly blockedPromptsSync: BlockedPromptsSync;
@@ -558,6 +559,7 @@
 		this.disposables.add(
 			toDisposable(() => {
 				clearInterval(timer);
+				clearImmediate(this.silenceCheck);
 			}),
 		);
 		this.tick();
@@ -597,9 +599,8 @@
 		this.updateRoster(nowMs);
 		this.configurationSync.tick();
 		this.targetListSync.tick(nowMs);
-		this.pathMonitor.tick(nowMs);
 		this.tickPromptCacheSync(nowMs);
-		this.server.moveOffUnresponsiveTargets(nowMs);
+		this.scheduleSilenceCheck();
 		this.shutdown.tick(nowMs);
 		this.requestLimitSync.tick(nowMs);
 		this.brittlenessSync.tick();
@@ -611,6 +612,19 @@
 		this.checkServing(nowMs);
 	}
 
+	/**
+	 * Looks for silent targets once the event loop has read what they have sent: after a time in which the process did not
+	 * run its timers come first.
+	 */
+	private scheduleSilenceCheck(): void {
+		clearImmediate(this.silenceCheck);
+		this.silenceCheck = setImmediate(() => {
+			const nowMs = performance.now();
+			this.pathMonitor.tick(nowMs);
+			this.server.moveOffUnresponsiveTargets(nowMs);
+		});
+	}
+
 	/** What counts in a window of time is older than it seems after a suspension. */
 	private checkSuspension(nowMs: number): void {
 		const suspendedMs = this.suspension.check(nowMs, Date.now());
