Keep sockets for targets when callers take many

Callers could take all descriptors of an instance. It then reached no target: connections failed with EMFILE, which counted against sound targets, and the instance took the path to all of them for lost. In a trial (500 descriptors, 700 callers that connect and send nothing) a caller that was already connected got "503 service app has no target that takes work" for more than 1.5 s, until the time-out for headers had freed descriptors; callers that wait for answers hold them for longer. Nothing ended the process.

Further connections are closed at once, so that callers try another instance, and are counted in the metric papayawell_decisions_total{event="callerConnectionRefused"}. The rest is for connections to targets, which the limits of the services bound, and for peers and the store.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -32,6 +32,8 @@
 	readonly isStoreUnreachable: () => boolean;
 	/** Undefined if what is held for callers is not limited. */
 	readonly memory: MemoryBudget | undefined;
+	/** Further connections are closed at once; undefined if they are not limited. */
+	readonly maxConnections: number | undefined;
 }
 
 interface ReceivedRequest {
@@ -65,6 +67,12 @@
 				this.handle(message, response);
 			},
 		);
+		if (options.maxConnections !== undefined) {
+			this.server.maxConnections = options.maxConnections;
+		}
+		this.server.on('drop', () => {
+			options.exchange.metrics.countDecision('callerConnectionRefused');
+		});
 	}
 
 	/** Number of requests whose response is not complete. */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -58,6 +58,8 @@
 /** Share of a target's connections that the fleet may use; the older system has connections to it as well. */
 const MAX_CONNECTION_SHARE = 0.8;
 const MIN_CONNECTIONS = 4;
+/** Share of the sockets that callers may take. The others reach targets, which the limits above bound, peers and the store. */
+const CALLER_CONNECTION_SHARE = 2 / 3;
 
 export interface GatewaySettings {
 	readonly self: FleetInstance;
@@ -87,6 +89,8 @@
 	readonly sharesCapacity: boolean;
 	/** Memory that the process may use, in bytes; undefined if what it holds for callers is not limited. */
 	readonly memoryBytes?: number | undefined;
+	/** Sockets that the process may open; undefined if the connections of callers are not limited. */
+	readonly maxSockets?: number | undefined;
 }
 
 export interface GatewayDependencies {
@@ -335,6 +339,10 @@
 				this.catchUp.isComplete && this.evacuationSync.isReady ? this.activeConfiguration.current : undefined,
 			isStoreUnreachable: () => this.configurationSync.isStoreUnreachable,
 			memory: this.memory,
+			maxConnections:
+				settings.maxSockets === undefined
+					? undefined
+					: Math.ceil(settings.maxSockets * CALLER_CONNECTION_SHARE),
 			exchange: {
 				codec,
 				targets: this.targets,
