Read a peer's state with parts of another type as invalid throughout

A datagram with the state of a peer ended the process if a part of it was not of its type, such as a prompt whose links are null, a crash that is null, or a control address without a valid port: "Cannot read properties of null (reading 'length')" in decodeUpdateLinks, out of the handler of the socket. The decoder checked the optional parts of a state, but of the lists of loads, crashes, prompts and known addresses only that they are lists, and of the instance only two names. Random bytes, which earlier trials sent, never get past the JSON parser, so they did not show it.

All parts that are read are checked now.

Before, the test failed at the first of the new changes, a control address with port 0, which was accepted.

--- a/packages/gateway/src/node/peerStateCodec.ts
+++ b/packages/gateway/src/node/peerStateCodec.ts
@@ -4,7 +4,8 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { isEvacuationReport } from '../common/evacuatedZones.js';
-import type { PeerState } from '../common/peerState.js';
+import { isAddress } from '../common/addresses.js';
+import type { CrashReport, FleetInstance, PeerState, PromptUpdate } from '../common/peerState.js';
 import { ColdnessSource } from '../common/peerState.js';
 import { isPartAnswerReport, isPartDeathReport } from '../common/promptCrashTracker.js';
 import { isCapacityReportMap } from '../common/capacityReport.js';
@@ -55,10 +56,11 @@
 	return (
 		typeof state === 'object' &&
 		state !== null &&
-		typeof state.instance?.name === 'string' &&
-		typeof state.instance.controlAddress === 'string' &&
-		typeof state.configurationVersion === 'number' &&
-		typeof state.targetsRevision === 'number' &&
+		isInstance(state.instance) &&
+		Number.isFinite(state.configurationVersion) &&
+		Number.isFinite(state.targetsRevision) &&
+		Number.isFinite(state.targetsAgeMs) &&
+		Number.isFinite(state.targetsDigest) &&
 		(state.storeEra === undefined || Number.isSafeInteger(state.storeEra)) &&
 		(state.sentAtMs === undefined || Number.isSafeInteger(state.sentAtMs)) &&
 		(state.acceptsPlacements === undefined || typeof state.acceptsPlacements === 'boolean') &&
@@ -75,17 +77,53 @@
 		(state.rosterSize === undefined || Number.isSafeInteger(state.rosterSize)) &&
 		isOptionalList(state.targetReports, isCount) &&
 		(state.capacityUse === undefined || isCapacityReportMap(state.capacityUse)) &&
-		Array.isArray(state.loads) &&
-		Array.isArray(state.crashes) &&
-		Array.isArray(state.prompts) &&
-		typeof state.promptTokens === 'number' &&
+		isList(state.loads, isTargetLoad) &&
+		isList(state.crashes, isCrashReport) &&
+		isList(state.prompts, isPromptUpdate) &&
+		Number.isFinite(state.promptTokens) &&
 		typeof state.promptKnowledge === 'string' &&
-		Array.isArray(state.known)
+		isList(state.known, isAddress)
 	);
 }
 
+function isInstance(value: unknown): value is FleetInstance {
+	const instance = (value ?? {}) as Partial<FleetInstance>;
+	const { fleet, name, incarnation, zone, callersAddress, controlAddress } = instance;
+	return (
+		[fleet, name, incarnation, zone, callersAddress].every((text) => typeof text === 'string') &&
+		isAddress(controlAddress)
+	);
+}
+
+function isTargetLoad(value: unknown): boolean {
+	return (
+		Array.isArray(value) &&
+		typeof value[0] === 'string' &&
+		Number.isFinite(value[1]) &&
+		Number.isFinite(value[2])
+	);
+}
+
+function isCrashReport(value: unknown): boolean {
+	const report = (value ?? {}) as Partial<CrashReport>;
+	return (
+		typeof report.fingerprint === 'string' &&
+		typeof report.target === 'string' &&
+		Number.isFinite(report.expiresInMs)
+	);
+}
+
+function isPromptUpdate(value: unknown): boolean {
+	const update = (value ?? {}) as Partial<PromptUpdate>;
+	return typeof update.target === 'string' && isList(update.links, isCount);
+}
+
 function isOptionalList(value: unknown, isItem: (item: unknown) => boolean): boolean {
-	return value === undefined || (Array.isArray(value) && value.every(isItem));
+	return value === undefined || isList(value, isItem);
+}
+
+function isList(value: unknown, isItem: (item: unknown) => boolean): boolean {
+	return Array.isArray(value) && value.every(isItem);
 }
 
 function isCount(value: unknown): boolean {
--- a/packages/gateway/test/node/peerStateCodec.test.ts
+++ b/packages/gateway/test/node/peerStateCodec.test.ts
@@ -69,6 +69,7 @@
 		expect(() => decodePeerState(bomb)).to.throw();
 	});
 
+	// Guards against a process that ends by itself on a datagram of a peer whose state has a part of another type.
 	it('fails on a state whose parts are of another type, so that nothing of it is adopted', () => {
 		for (const change of [
 			{ storeEra: '2' },
@@ -89,6 +90,20 @@
 			{ targetLimits: [['i-1', 7, -1, 1]] },
 			{ loads: undefined },
 			{ instance: {} },
+			{ instance: { ...makeState(0).instance, controlAddress: '10.1.0.53:0' } },
+			{ instance: { ...makeState(0).instance, callersAddress: 5 } },
+			{ instance: { ...makeState(0).instance, zone: null } },
+			{ targetsAgeMs: [[]] },
+			{ loads: [null] },
+			{ loads: [['i-1', 1, null]] },
+			{ crashes: [null] },
+			{ crashes: [{ fingerprint: 'a', target: 'i-1', expiresInMs: null }] },
+			{ prompts: [null] },
+			{ prompts: [{ target: 'i-1', links: null }] },
+			{ prompts: [{ target: 'i-1', links: [1, -1] }] },
+			{ promptTokens: null },
+			{ known: [5] },
+			{ known: ['peer'] },
 		]) {
 			const bytes = Buffer.from(JSON.stringify({ ...makeState(0), ...change }));
 			expect(() => decodePeerState(bytes), JSON.stringify(change)).to.throw('not a valid peer state');
