--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -17,6 +17,8 @@
 
 /** Time-out of a fetch from a peer in the same region. */
 const FETCH_TIMEOUT_MS = 800;
+/** Limit of a document, above that of all prompt caches; a longer one would take the memory of the process. */
+const MAX_DOCUMENT_BYTES = 16_777_216;
 /** Larger datagrams are not sent: they would be fragmented in transit. */
 const MAX_DATAGRAM_BYTES = 60_000;
 /** Limit of the header of a relayed request: that of callers, and what the instance that relays it adds. */
@@ -156,7 +158,15 @@
 		return new Promise((resolve) => {
 			const request = get({ host, port, path, agent: false, timeout: FETCH_TIMEOUT_MS }, (response) => {
 				const parts: Buffer[] = [];
-				response.on('data', (part: Buffer) => parts.push(part));
+				let bytes = 0;
+				response.on('data', (part: Buffer) => {
+					parts.push(part);
+					bytes += part.length;
+					if (bytes > MAX_DOCUMENT_BYTES) {
+						parts.length = 0;
+						request.destroy(new Error(`document ${path} of ${address} is too long`));
+					}
+				});
 				response.on('end', () => {
 					resolve(response.statusCode === 200 ? Buffer.concat(parts).toString('utf8') : undefined);
 				});
