Bound the ids of remembered streams by their length

The origins of the last 50,000 streams are kept under the ids of the callers' attempts, whatever the length of these. In a trial with the program's flags and ids of 12,000 characters, within the limit of a head, the process ended after 15,335 streams within a minute: "Reached heap limit Allocation failed".

The oldest origins are forgotten as well when the ids have more than 4 million characters, five times as many as 50,000 usual ids of 16.

Before, the test found the origins of all 2,000 ids, 24 million characters.

--- a/packages/gateway/src/common/streamOrigins.ts
+++ b/packages/gateway/src/common/streamOrigins.ts
@@ -18,6 +18,8 @@
 export const ORIGIN_RETENTION_MS = 60_000;
 /** Limit of remembered origins; the oldest ones are forgotten first. */
 const MAX_ORIGINS = 50_000;
+/** Limit of the characters of their ids, which callers choose. */
+const MAX_ID_CHARACTERS = 4_000_000;
 
 interface KnownOrigin extends StreamOrigin {
 	readonly begunAtMs: number;
@@ -26,17 +28,20 @@
 export class StreamOrigins {
 	/** Origins by attempt; the one that was added first comes first. */
 	private readonly origins = new Map<string, KnownOrigin>();
+	private idCharacters = 0;
 
 	/** Adds an origin. The first one that is known of an attempt stays. */
 	public add([attemptId, service, version, ageMs]: StreamOriginReport, nowMs: number): void {
 		if (!this.origins.has(attemptId)) {
 			this.origins.set(attemptId, { service, version, begunAtMs: nowMs - ageMs });
+			this.idCharacters += attemptId.length;
 		}
 		for (const [oldest, { begunAtMs }] of this.origins) {
-			if (this.origins.size <= MAX_ORIGINS && nowMs - begunAtMs <= ORIGIN_RETENTION_MS) {
+			if (!this.isOverfull && nowMs - begunAtMs <= ORIGIN_RETENTION_MS) {
 				break;
 			}
 			this.origins.delete(oldest);
+			this.idCharacters -= oldest.length;
 		}
 	}
 
@@ -44,6 +49,10 @@
 		return this.origins.get(attemptId);
 	}
 
+	private get isOverfull(): boolean {
+		return this.origins.size > MAX_ORIGINS || this.idCharacters > MAX_ID_CHARACTERS;
+	}
+
 	/** Lists the origins of the streams that began within the last `maxAgeMs`, the newest first. */
 	public listRecent(maxAgeMs: number, nowMs: number): readonly StreamOriginReport[] {
 		const reports: StreamOriginReport[] = [];
--- a/packages/gateway/test/common/streamOrigins.test.ts
+++ b/packages/gateway/test/common/streamOrigins.test.ts
@@ -26,4 +26,16 @@
 			['b', 'engines', 'v1', 500],
 		]);
 	});
+
+	// Guards against a process that ends at its heap limit because callers name their attempts at length.
+	it('forgets the oldest origins if the ids are long', () => {
+		const origins = new StreamOrigins();
+		const ids = Array.from({ length: 2000 }, (_, index) => String(index).padStart(12_000, 'a'));
+		for (const id of ids) {
+			origins.add([id, 'engines', 'v1', 0], 0);
+		}
+		const known = ids.filter((id) => origins.find(id) !== undefined);
+		expect(known.length * 12_000).to.be.within(1_000_000, 10_000_000);
+		expect(known.at(-1)).to.equal(ids.at(-1));
+	});
 });
