Answer requests that are in flight at the end of a planned stop

Callers whose requests were still on their target at the end of the grace period saw their connection reset when the process exited.

Cause: the shutdown only waited, and ended the process with what was left.

Now requests whose answer has not begun are answered 0.2 s before the exit: 502 if they may have run, 503 if not, and the connections to their targets are closed, so that these stop work. Answers that have begun go on until the exit and are then cut, since they must not look complete. The check before each send counts up to that moment.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -94,6 +94,13 @@
 		this.options.exchange.admission?.refuseAll();
 	}
 
+	/** Ends the requests whose answer has not begun, since the process exits. */
+	public endUnanswered(): void {
+		for (const exchange of this.exchanges) {
+			exchange.endBeforeExit();
+		}
+	}
+
 	/** Stops accepting connections. */
 	public closeListener(): void {
 		// The method of the HTTP server would also close connections that the runtime takes to be idle; see below.
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -164,6 +164,14 @@
 		}
 	}
 
+	/** Answers a request whose answer has not begun, since the process exits. */
+	public endBeforeExit(): void {
+		if (!this.isEnded && !this.callerResponse.hasStarted) {
+			this.cancelAttempt();
+			this.endWithFailure('draining', STOPPING_DETAIL);
+		}
+	}
+
 	/**
 	 * Moves a repeatable request off a target that has stopped sending. Inactivity alone does not end an attempt: the
 	 * request stays on its target unless another target is available and the retry budget allows a further send.
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -58,7 +58,7 @@
 	readonly recordStreamOrigin: (attemptId: string, origin: StreamOrigin) => void;
 	/** How long requests take; decides what is still sent while the instance stops. */
 	readonly durations: RequestDurations;
-	/** Time until the process exits and cuts what is in flight, in ms; infinity unless it is stopping. */
+	/** Time until what is in flight is ended, since the process exits, in ms; infinity unless it is stopping. */
 	readonly readTimeToExit: () => number;
 	/** Returns a random number in [0, 1). */
 	readonly random: () => number;
--- a/packages/gateway/src/node/shutdown.ts
+++ b/packages/gateway/src/node/shutdown.ts
@@ -9,6 +9,8 @@
 const KILL_MARGIN_MS = 250;
 /** Time that the last bytes of a response need to leave the process. */
 const FLUSH_DELAY_MS = 100;
+/** Time before the exit at which requests without an answer get one; more than the interval of the ticks. */
+const ANSWER_MARGIN_MS = 200;
 
 type ShutdownState =
 	| { readonly kind: 'serving' }
@@ -42,14 +44,14 @@
 		return this.state.kind !== 'serving';
 	}
 
-	/** Returns the time in which a response has to end, so that it leaves the process; infinity unless stopping. */
+	/** Returns the time until what is in flight is ended, so that all answers leave the process; infinity unless stopping. */
 	public computeTimeToExit(nowMs: number): number {
 		switch (this.state.kind) {
 			case 'serving':
 				return Infinity;
 			case 'announced':
 			case 'finishing':
-				return this.state.startedAtMs + this.parts.gracePeriodMs - KILL_MARGIN_MS - FLUSH_DELAY_MS - nowMs;
+				return this.state.startedAtMs + this.parts.gracePeriodMs - KILL_MARGIN_MS - ANSWER_MARGIN_MS - nowMs;
 			case 'ended':
 				return 0;
 		}
@@ -90,6 +92,9 @@
 	private tickFinishing(state: Extract<ShutdownState, { kind: 'finishing' }>, nowMs: number): void {
 		const { server, gracePeriodMs, log } = this.parts;
 		server.closeIdleConnections();
+		if (this.computeTimeToExit(nowMs) <= 0) {
+			server.endUnanswered();
+		}
 		const inFlight = server.requestsInFlight;
 		state.idleSinceMs = inFlight === 0 ? (state.idleSinceMs ?? nowMs) : undefined;
 		const isIdle = state.idleSinceMs !== undefined && nowMs - state.idleSinceMs >= FLUSH_DELAY_MS;
