--- a/packages/gateway/src/node/connectionPool.ts
+++ b/packages/gateway/src/node/connectionPool.ts
@@ -1,6 +1,6 @@
 /** Connection pool of this instance for one target. */
 import type { Disposable } from '@papayawell/core';
-import type { EndEvidence } from './targetConnection.js';
+import type { EndEvidence, ProbeResult } from './targetConnection.js';
 import { TargetConnection } from './targetConnection.js';
 
 /** Within a region a connection takes a few ms; a longer wait means that the target or the network is down. */
@@ -87,16 +87,19 @@
 			// It may have closed its port, so nothing tells its last answer from one that was broken off.
 			return 'plannedStop';
 		}
-		// A target at its limit of connections accepts the first one too, and then resets it.
-		const isAlive = (await this.probe(DEATH_NOTICE_MS)) || (await this.probe(0));
-		return isAlive ? 'newConnection' : undefined;
+		if ((await this.probe(DEATH_NOTICE_MS)) === 'open') {
+			return 'newConnection';
+		}
+		// The port of a process that dies may accept a last connection; a target at its limit of connections resets each.
+		await waitForNotices(DEATH_NOTICE_MS);
+		return (await this.probe(0)) === 'unreachable' ? undefined : 'newConnection';
 	}
 
 	private get hasOpenConnection(): boolean {
 		return [...this.connections].some(({ isOpen }) => isOpen);
 	}
 
-	private probe(holdMs: number): Promise<boolean> {
+	private probe(holdMs: number): Promise<ProbeResult> {
 		return new Promise((resolve) => {
 			this.open().probe(holdMs, resolve);
 		});
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -125,7 +125,11 @@
 	 */
 	public probe(target: TargetState, holdMs: number): Promise<boolean> {
 		return new Promise((resolve) => {
-			this.getPool(target).open().probe(holdMs, resolve);
+			this.getPool(target)
+				.open()
+				.probe(holdMs, (result) => {
+					resolve(result === 'open');
+				});
 		});
 	}
 
@@ -189,6 +193,7 @@
 	private isSent = false;
 	private isCancelled = false;
 	private isPaused = false;
+	private isEnded = false;
 	private isCrossed = false;
 	private crossedBytes = 0;
 
@@ -206,12 +211,13 @@
 
 	public cancel(): void {
 		this.isCancelled = true;
-		this.endPause();
+		this.end();
 		this.connection.close();
 	}
 
+	/** Has no effect once the call has ended: nothing more of it is read. */
 	public pause(): void {
-		if (!this.isPaused) {
+		if (!this.isPaused && !this.isEnded) {
 			this.isPaused = true;
 			this.target.recordReadingPaused();
 			this.connection.pause();
@@ -306,18 +312,23 @@
 		if (endEvidence !== undefined) {
 			this.options.onUnframedEnd(this.target.record.id, this.outgoing.request.attemptId, endEvidence);
 		}
-		this.endPause();
+		this.end();
 		this.listener.onEnd();
 		return true;
 	}
 
 	public onFailure(failure: ConnectionFailure, message: string): void {
-		this.endPause();
+		this.end();
 		if (!this.isCancelled) {
 			this.listener.onFailure(failure, this.isSent, message);
 		}
 	}
 
+	private end(): void {
+		this.isEnded = true;
+		this.endPause();
+	}
+
 	private endPause(): void {
 		if (this.isPaused) {
 			this.isPaused = false;
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -38,6 +38,13 @@
 	/** It was to stop. */
 	| 'plannedStop';
 
+/** What a new connection shows of the address. */
+export type ProbeResult =
+	| 'open'
+	/** It was accepted and then reset, as by a target at its limit of connections. */
+	| 'reset'
+	| 'unreachable';
+
 export interface ConnectionOptions {
 	readonly host: string;
 	readonly port: number;
@@ -52,6 +59,8 @@
 	private readonly socket: Socket;
 	private readonly connectTimer: NodeJS.Timeout;
 	private isConnected = false;
+	/** Also before the connection is known to be established, if it was accepted and reset at once. */
+	private wasReset = false;
 	private isClosed = false;
 	private parser: ResponseParser | undefined;
 	private listener: ConnectionListener | undefined;
@@ -93,7 +102,8 @@
 		this.socket.on('end', () => {
 			this.handleEnd();
 		});
-		this.socket.on('error', (error) => {
+		this.socket.on('error', (error: NodeJS.ErrnoException) => {
+			this.wasReset = error.code === 'ECONNRESET';
 			this.fail(this.isConnected ? 'broken' : 'unreachable', error.message);
 		});
 		this.socket.on('close', () => {
@@ -168,13 +178,13 @@
 	 * Reports whether the connection is established and stays open for a time, in which it carries no request. Called
 	 * before it is established.
 	 */
-	public probe(holdMs: number, onResult: (isOpen: boolean) => void): void {
+	public probe(holdMs: number, onResult: (result: ProbeResult) => void): void {
 		this.listener = {
 			onHead: () => undefined,
 			onBody: () => undefined,
 			onEnd: () => true,
 			onFailure: () => {
-				onResult(false);
+				onResult(this.isConnected || this.wasReset ? 'reset' : 'unreachable');
 			},
 		};
 		this.pendingWrite = () => {
@@ -182,7 +192,7 @@
 				if (!this.isClosed) {
 					this.listener = undefined;
 					this.markIdle();
-					onResult(true);
+					onResult('open');
 				}
 			}, holdMs);
 		};
