End a planned stop in time if the grace period is short

With a grace period shorter than the life of directory entries (3.15 s), a stopping instance served until it was killed: all in flight was cut, and callers were never refused.

Cause: the shutdown looked at the end of the grace period only after the entries had expired.

Now the time to the exit ends that state too.

Evidence: plannedStop.test.ts, 3 s of grace and entries of 10 s: no answer and not ended after 3 s before; answered with 502 and ended now, in 5 of 5 runs of the file.

--- a/packages/gateway/src/node/shutdown.ts
+++ b/packages/gateway/src/node/shutdown.ts
@@ -71,12 +71,16 @@
 	/** Called periodically: moves to the next state when its time has come. */
 	public tick(nowMs: number): void {
 		const { state, parts } = this;
+		const isTimeUp = this.computeTimeToExit(nowMs) <= 0;
+		if (isTimeUp) {
+			parts.server.endUnanswered();
+		}
 		switch (state.kind) {
 			case 'serving':
 			case 'ended':
 				return;
 			case 'announced':
-				if (nowMs - state.startedAtMs >= parts.entryTtlMs) {
+				if (nowMs - state.startedAtMs >= parts.entryTtlMs || isTimeUp) {
 					parts.server.startRefusing();
 					parts.server.closeListener();
 					parts.server.closeIdleConnections();
@@ -92,9 +96,6 @@
 	private tickFinishing(state: Extract<ShutdownState, { kind: 'finishing' }>, nowMs: number): void {
 		const { server, gracePeriodMs, log } = this.parts;
 		server.closeIdleConnections();
-		if (this.computeTimeToExit(nowMs) <= 0) {
-			server.endUnanswered();
-		}
 		const inFlight = server.requestsInFlight;
 		state.idleSinceMs = inFlight === 0 ? (state.idleSinceMs ?? nowMs) : undefined;
 		const isIdle = state.idleSinceMs !== undefined && nowMs - state.idleSinceMs >= FLUSH_DELAY_MS;
