--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -71,7 +71,14 @@
 	}
 
 	public listen(): Promise<void> {
-		return listenAt(this.server, this.options.address, LISTEN_BACKLOG);
+		const { address, exchange } = this.options;
+		return listenAt(this.server, {
+			address,
+			backlog: LISTEN_BACKLOG,
+			onError: (error) => {
+				exchange.log.write('state', 'listenerError', { address, detail: error.message });
+			},
+		});
 	}
 
 	/** Applies the limits of a new configuration. */
--- a/packages/gateway/src/node/peerTransport.ts
+++ b/packages/gateway/src/node/peerTransport.ts
@@ -13,7 +13,7 @@
 import type { RelayedRequest } from '../common/relayHeaders.js';
 import { readRelayHeaders } from '../common/relayHeaders.js';
 import { decodePeerState, encodeCompressed, encodePeerState } from './peerStateCodec.js';
-import { listenAt } from './listenAt.js';
+import { bindAt, listenAt } from './listenAt.js';
 
 /** Time-out of a fetch from a peer in the same region. */
 const FETCH_TIMEOUT_MS = 800;
@@ -85,17 +85,14 @@
 	}
 
 	public async listen(): Promise<void> {
-		const { host, port } = splitAddress(this.options.address);
-		await new Promise<void>((resolve, reject) => {
-			this.socket.once('error', reject);
-			this.socket.bind(port, host, resolve);
-		});
-		await listenAt(this.server, this.options.address);
-		for (const emitter of [this.socket, this.server]) {
-			emitter.on('error', (error: Error) => {
+		const options = {
+			address: this.options.address,
+			onError: (error: Error) => {
 				this.options.onError(error.message);
-			});
-		}
+			},
+		};
+		await bindAt(this.socket, options);
+		await listenAt(this.server, options);
 	}
 
 	/**
