Go on when the log cannot be written to a file

What was seen: with standard output on a full disk the process ended with exit code 1 right after its start, from an uncaught ENOSPC.

Cause: for files the log used process.stdout, whose write error reaches each listener of that stream; the one of the logging library throws any error but EPIPE. The same error also destroys the stream, so later lines were lost even when the disk had room again.

Change: the log writes to the descriptor itself unless it is a pipe or a socket, and drops the lines that fail.

Evidence: fullDisk.test.ts starts the program with /dev/full as its standard output; it exited with 1 before and now serves and ends with 0 on SIGTERM.

--- a/packages/gateway/src/node/boundedWriter.ts
+++ b/packages/gateway/src/node/boundedWriter.ts
@@ -1,21 +1,32 @@
 /** Writes lines to a stream without blocking the process; lines that a slow reader cannot take are dropped. */
-import { fstatSync } from 'node:fs';
+import { fstatSync, writeSync } from 'node:fs';
 import { Socket } from 'node:net';
-import type { Writable } from 'node:stream';
+import { Writable } from 'node:stream';
 
 /** Maximum number of bytes that are queued for the reader; further lines are dropped. */
 const MAX_PENDING_BYTES = 262_144;
 const STANDARD_OUTPUT_FD = 1;
 
 /**
- * Opens standard output for non-blocking writes. The runtime's own stream blocks on pipes and sockets, so that a
- * reader that has stopped would also delay the exit of the process.
+ * Opens standard output for writes that neither block on a reader nor fail. The runtime's own stream blocks on pipes and
+ * sockets, so that a reader that has stopped would also delay the exit of the process, and it gives up on a file after
+ * one error. Libraries also listen to its errors, and throw them.
  */
 export function openStandardOutput(): Writable {
 	const status = fstatSync(STANDARD_OUTPUT_FD);
-	return status.isFIFO() || status.isSocket()
-		? new Socket({ fd: STANDARD_OUTPUT_FD, readable: false, writable: true })
-		: process.stdout;
+	if (status.isFIFO() || status.isSocket()) {
+		return new Socket({ fd: STANDARD_OUTPUT_FD, readable: false, writable: true });
+	}
+	return new Writable({
+		write: (chunk: Buffer, _encoding, onWritten) => {
+			try {
+				writeSync(STANDARD_OUTPUT_FD, chunk);
+			} catch {
+				// The disk is full: these lines are lost, later ones may find room.
+			}
+			onWritten();
+		},
+	});
 }
 
 export class BoundedWriter {
