Release requests that wait behind another when their caller leaves

Cause: a request is released by the close of its response, which the runtime does not report for a response that still waits behind an earlier one when the connection ends.

Change: the end of the connection closes every response that is open on it.

--- a/packages/gateway/src/common/promptUpdateBuffer.ts
+++ b/packages/gateway/src/common/promptUpdateBuffer.ts
@@ -24,6 +24,9 @@
 	/** @param peers number of peers that are to receive the update */
 	public add(target: string, chain: PromptChain, peers: number, nowMs: number): void {
 		const links = listSharedLinks(chain).flatMap(({ hash, tokens }) => [hash, tokens]);
+		if (links.length > MAX_LINKS * NUMBERS_PER_LINK) {
+			return;
+		}
 		const update = { target, links };
 		const ttlMs = MESSAGES_PER_UPDATE * this.computeInterval(peers) + ROUND_DELAY_MS;
 		this.entries.push({ update, expiresAtMs: nowMs + ttlMs });
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -166,6 +166,7 @@
 
 	private handle(message: IncomingMessage, response: ServerResponse, relayed?: RelayedRequest): void {
 		const receivedAtMs = performance.now();
+		closeWithConnection(message, response);
 		this.responses.add(response);
 		const { memory } = this.options;
 		const { codec } = this.options.exchange;
@@ -334,6 +335,21 @@
 	}
 }
 
+/** The runtime does not close a response that waits for an earlier one on a connection that ends. */
+function closeWithConnection({ socket }: IncomingMessage, response: ServerResponse): void {
+	const close = (): void => {
+		if (!response.closed) {
+			response.emit('close');
+		}
+	};
+	// Each of the requests that wait on the connection adds one.
+	socket.setMaxListeners(0);
+	socket.once('close', close);
+	response.once('close', () => {
+		socket.off('close', close);
+	});
+}
+
 /** Hashes the customer and the content of a request; each send of the same request has the same hash. */
 function computeFingerprint(customer: string | undefined, request: GatewayRequest, body: Buffer): string {
 	const hash = createHash('md5');
--- a/packages/gateway/test/common/promptUpdateBuffer.test.ts
+++ b/packages/gateway/test/common/promptUpdateBuffer.test.ts
@@ -41,4 +41,13 @@
 		expect(JSON.stringify(updates).length).to.be.below(HALF_DATAGRAM_BYTES);
 		expect(updates.map(({ target }) => target)).to.deep.equal(['large-9', 'latest']);
 	});
+
+	// Guards against one caller who hides the latest prompts of all others from the peers.
+	it('omits an update that is too long by itself, and keeps the others', () => {
+		const buffer = new PromptUpdateBuffer();
+		buffer.add('earlier', chain, 3, 0);
+		const parts = Array.from({ length: 2000 }, (_, part) => ({ id: String(part), tokens: 1 }));
+		buffer.add('too-long', buildPromptChain(parts), 3, 1);
+		expect(buffer.list(2).map(({ target }) => target)).to.deep.equal(['earlier']);
+	});
 });
