Probe a target as soon as its last connection has ended

What callers saw: where a target died with other connections open and its successor listened at the same address within 20 ms, half a stream without a length still ended as complete.

Cause: the gateway waited 20 ms for the other connections to end before it tried a new one, and the successor accepted that.

Change: the wait ends with the last open connection, so that the address is tried while nobody listens there yet. Of answers that end at the same time one opens a connection and the others wait for it.

--- a/packages/gateway/src/node/connectionPool.ts
+++ b/packages/gateway/src/node/connectionPool.ts
@@ -12,6 +12,7 @@
 
 export class ConnectionPool implements Disposable {
 	private readonly connections = new Set<TargetConnection>();
+	private readonly endListeners = new Set<() => void>();
 	private readonly host: string;
 	private readonly port: number;
 
@@ -56,7 +57,10 @@
 				port: this.port,
 				connectTimeoutMs: CONNECT_TIMEOUT_MS,
 				findEndEvidence: () => this.findEndEvidence(),
-				onClosed: () => this.connections.delete(connection),
+				onClosed: () => {
+					this.connections.delete(connection);
+					this.signalEnd();
+				},
 			},
 			DEFAULT_IDLE_LIMIT_MS,
 		);
@@ -77,9 +81,11 @@
 
 	/** Finds out whether the target lives on after it has ended one of its connections; undefined if it does not. */
 	private async findEndEvidence(): Promise<EndEvidence | undefined> {
-		if (this.hasOpenConnection || [...this.connections].some(({ isConnecting }) => isConnecting)) {
-			await waitForNotices(DEATH_NOTICE_MS);
-			if (this.hasOpenConnection) {
+		this.signalEnd();
+		// Of answers that end at the same time, one opens a connection, and the others wait for it.
+		for (let wait = 0; wait < 2 && this.hasConnections; wait++) {
+			await this.waitForEnds(DEATH_NOTICE_MS);
+			if ([...this.connections].some(({ isOpen }) => isOpen)) {
 				return 'openConnection';
 			}
 		}
@@ -92,8 +98,36 @@
 		return isAlive ? 'newConnection' : undefined;
 	}
 
-	private get hasOpenConnection(): boolean {
-		return [...this.connections].some(({ isOpen }) => isOpen);
+	private get hasConnections(): boolean {
+		return [...this.connections].some(({ isOpen, isConnecting }) => isOpen || isConnecting);
+	}
+
+	/**
+	 * Waits until the target has ended all connections, but no longer than `timeMs`. A target that has died is probed at
+	 * once then, since its successor may soon listen at the address.
+	 */
+	private waitForEnds(timeMs: number): Promise<void> {
+		return new Promise((resolve) => {
+			const finish = (): void => {
+				clearTimeout(timer);
+				this.endListeners.delete(check);
+				resolve();
+			};
+			const check = (): void => {
+				if (!this.hasConnections) {
+					finish();
+				}
+			};
+			// The ends that came in this time may still have to be read.
+			const timer = setTimeout(() => setImmediate(finish), timeMs);
+			this.endListeners.add(check);
+		});
+	}
+
+	private signalEnd(): void {
+		for (const check of this.endListeners) {
+			check();
+		}
 	}
 
 	private probe(holdMs: number): Promise<boolean> {
@@ -110,9 +144,3 @@
 		}
 	}
 }
-
-/** Waits for a time, and until the event loop has handled what came in it. */
-async function waitForNotices(timeMs: number): Promise<void> {
-	await new Promise((resolve) => setTimeout(resolve, timeMs));
-	await new Promise((resolve) => setImmediate(resolve));
-}
