Break off answers of leaving targets whose process has ended

Cause: the end at a target that was to stop counted without a sign that it lives, since its port might be closed before its last answer ends.

Change: a target that leaves serves until it exits, so it is looked for like any other. A whole answer that ends just as its target exits is resumed at another one where the route allows it, and broken off otherwise: a caller can tell that from a whole answer, but not half an answer that counts as whole. Only targets to which no connection may be opened are trusted. An address that refuses is not probed a second time, as a successor may listen by then.

--- a/packages/gateway/src/node/connectionPool.ts
+++ b/packages/gateway/src/node/connectionPool.ts
@@ -1,4 +1,5 @@
 /** Connection pool of this instance for one target. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Disposable } from '@papayawell/core';
 import type { EndEvidence, ProbeResult } from './targetConnection.js';
 import { TargetConnection } from './targetConnection.js';
@@ -19,12 +20,12 @@
 	/**
 	 * @param address IP address and port
 	 * @param onOpened called for each new connection
-	 * @param isToStop whether the target is expected to stop
+	 * @param mayOpen whether a connection may be opened to see whether the target lives
 	 */
 	constructor(
 		address: string,
 		private readonly onOpened: () => void,
-		private readonly isToStop: () => boolean,
+		private readonly mayOpen: () => boolean,
 	) {
 		const colon = address.lastIndexOf(':');
 		this.host = address.slice(0, colon);
@@ -89,16 +90,19 @@
 				return 'openConnection';
 			}
 		}
-		if (this.isToStop()) {
-			// It may have closed its port, so nothing tells its last answer from one that was broken off.
-			return 'plannedStop';
+		if (!this.mayOpen()) {
+			return 'notProbed';
 		}
-		if ((await this.probe(DEATH_NOTICE_MS)) === 'open') {
-			return 'newConnection';
+		switch (await this.probe(DEATH_NOTICE_MS)) {
+			case 'open':
+				return 'newConnection';
+			case 'unreachable':
+				return undefined;
+			case 'reset':
+				// The port of a process that dies may accept a last connection; a target at its limit of connections resets each.
+				await sleep(DEATH_NOTICE_MS);
+				return (await this.probe(0)) === 'unreachable' ? undefined : 'newConnection';
 		}
-		// The port of a process that dies may accept a last connection; a target at its limit of connections resets each.
-		await waitForNotices(DEATH_NOTICE_MS);
-		return (await this.probe(0)) === 'unreachable' ? undefined : 'newConnection';
 	}
 
 	private get hasConnections(): boolean {
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -219,11 +219,7 @@
 				this.metrics.countDecision('crossedAnswer');
 				log.write('decision', 'crossedAnswer', { id: attemptId, target });
 			},
-			isToStop: (target) =>
-				// Some targets leave by the removal of their entry alone.
-				this.targets.find(target.record.id) !== target ||
-				target.record.isLeaving ||
-				this.targets.isEvacuated(target),
+			mayProbe: (target) => !this.targets.isEvacuated(target),
 			onUnframedEnd: (target, attemptId, evidence) => {
 				log.write('routine', 'unframedEnd', { id: attemptId, target, evidence });
 			},
--- a/packages/gateway/src/node/targetClient.ts
+++ b/packages/gateway/src/node/targetClient.ts
@@ -59,8 +59,8 @@
 	readonly onConnectionOpened: () => void;
 	/** Called when a response is dropped because it belongs to another request. */
 	readonly onCrossedResponse: (target: string, attemptId: string) => void;
-	/** Whether a target is expected to stop, and may close its port before its last answer ends. */
-	readonly isToStop: (target: TargetState) => boolean;
+	/** Whether a connection may be opened to see whether a target lives. */
+	readonly mayProbe: (target: TargetState) => boolean;
 	/** Called when a response without a length counts as complete at the end of its connection. */
 	readonly onUnframedEnd: (target: string, attemptId: string, evidence: EndEvidence) => void;
 	/** Called when a target has sent something. */
@@ -179,7 +179,7 @@
 		let pool = this.pools.get(key);
 		if (pool === undefined) {
 			pool = new ConnectionPool(address, this.options.onConnectionOpened, () =>
-				this.options.isToStop(target),
+				this.options.mayProbe(target),
 			);
 			this.pools.set(key, pool);
 		}
--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -35,8 +35,8 @@
 	| 'openConnection'
 	/** It has accepted a new connection. */
 	| 'newConnection'
-	/** It was to stop. */
-	| 'plannedStop';
+	/** No connection may be opened to it. */
+	| 'notProbed';
 
 /** What a new connection shows of the address. */
 export type ProbeResult =
