Put the collector of bodies among the pure modules, and write nothing after a whole stream

BodyParts needs no socket, file or timer, but lay in src/node; an empty write followed each whole stream; a private method stood before the public one that uses it.

Change: BodyParts moves to src/common, the write is left out when no bytes are left, the method moves. No behaviour that a caller sees changes, and no check.

Evidence: build and linter pass; 24 tests of streams, endEvidence, unframedAnswers, smallParts and requestDurations pass. The whole suite was not run on it.

--- a/packages/gateway/src/common/requestDurations.ts
+++ b/packages/gateway/src/common/requestDurations.ts
@@ -23,12 +23,6 @@
 		durations.oldest = (durations.oldest + 1) % KEPT_DURATIONS;
 	}
 
-	/** Returns the time within which a further request of the route should end; infinity if too little is known. */
-	private estimateLongest(route: string): number {
-		const latestMs = this.routes.get(route)?.latestMs ?? [];
-		return latestMs.length < MIN_DURATIONS ? Infinity : MARGIN_FACTOR * Math.max(...latestMs);
-	}
-
 	/**
 	 * Whether a request that is sent now should end in the time that is left.
 	 * @param limitMs time after which the request ends in any case
@@ -36,4 +30,10 @@
 	public isEndExpected(route: string, timeLeftMs: number, limitMs: number): boolean {
 		return limitMs <= timeLeftMs || this.estimateLongest(route) <= timeLeftMs;
 	}
+
+	/** Returns the time within which a further request of the route should end; infinity if too little is known. */
+	private estimateLongest(route: string): number {
+		const latestMs = this.routes.get(route)?.latestMs ?? [];
+		return latestMs.length < MIN_DURATIONS ? Infinity : MARGIN_FACTOR * Math.max(...latestMs);
+	}
 }
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -1,11 +1,11 @@
 /** Handles a target's response to one attempt: relays it, buffers it until it is complete, or discards it. */
+import { BodyParts } from '../common/bodyParts.js';
 import { isNoLaterEvent } from '../common/eventIds.js';
 import type { ScannedEvent } from '../common/eventScanner.js';
 import { EventScanner } from '../common/eventScanner.js';
 import type { TargetResponseInfo } from '../common/gatewayRequest.js';
 import { isNotExecutedStatus } from '../common/gatewayRequest.js';
 import type { ResponseHead } from '../common/responseParser.js';
-import { BodyParts } from './bodyParts.js';
 import type { CallerResponse } from './callerResponse.js';
 import type { Call, CallListener } from './targetClient.js';
 import type { ConnectionFailure } from './targetConnection.js';
@@ -238,7 +238,9 @@
 			return;
 		}
 		this.startStream();
-		this.write(this.scanner.rest);
+		if (this.scanner.rest.length > 0) {
+			this.write(this.scanner.rest);
+		}
 		this.options.response.end();
 		this.report({ kind: 'delivered', status: head.status });
 	}
