Review: show a whole answer that is broken off

A leaving worker ends its last answer, a stream without a length, after it has stopped to take channels. The gateway finds no channel that proves the worker alive, and breaks the answer off.

--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -303,8 +303,9 @@
 	/** @param id id of the worker; mostly a new one at each start */
 	async start(id = `i-${this.name}-${randomBytes(3).toString('hex')}`) {
 		const { deployment, port, slots } = this;
+		const born = Date.now();
 		this.id = id;
-		this.born = Date.now();
+		this.born = born;
 		const child = deployment.spawn(process.execPath, [WORKER, this.id, String(port), String(slots)], {
 			stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
 		});
@@ -315,11 +316,10 @@
 					resolve();
 					return;
 				}
-				this.runs.push({ ...message, worker: id, atMs: deployment.nowMs });
+				this.runs.push({ ...message, worker: id, born, atMs: deployment.nowMs });
 				deployment.note(`worker ${id}: ${message.kind} ${message.attemptId}${message.detail ?? ''}`);
 			});
 		});
-		const { born } = this;
 		child.once('exit', (code, signal) => {
 			if (!deployment.isClosed) {
 				deployment.note(`worker ${id} has ended: code ${code}, signal ${signal}`);
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -11,7 +11,7 @@
 let isLeaving = false;
 
 function tell(kind, attemptId, detail) {
-	process.send?.({ kind, attemptId, detail });
+	process.send?.({ kind, attemptId, detail, isLeaving });
 }
 
 function readPlan(text) {
@@ -83,6 +83,10 @@
 function sendEvents(response, attemptId, headers, { events, intervalMs = 20 }, after) {
 	let next = after + 1;
 	response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
+	if (next > events) {
+		response.end();
+		return;
+	}
 	const timer = setInterval(() => {
 		const end = next === events ? ' last' : '';
 		response.write(`id: ${next}\ndata: piece ${next} of ${events} for ${attemptId}${end}\n\n`);
