Review: show torn streams after a lost packet as well

The gateway takes that channel for proof of life, and ends torn streams of the worker as complete.

Change: the scene, a link in the stand-ins, and scenes with a deployment of their own.

--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -69,8 +69,6 @@
 }
 
 export class Deployment {
-	startedAtMs = performance.now();
-	lines = [];
 	store = new StoreStandIn();
 	workers = [];
 	gateways = [];
@@ -78,6 +76,15 @@
 	children = new Set();
 	isClosed = false;
 
+	/**
+	 * @param lines record of the case
+	 * @param startedAtMs start of the case
+	 */
+	constructor(lines, startedAtMs) {
+		this.lines = lines;
+		this.startedAtMs = startedAtMs;
+	}
+
 	get nowMs() {
 		return performance.now() - this.startedAtMs;
 	}
@@ -336,11 +343,18 @@
 		deployment.note(`worker ${id} listens at 127.0.0.1:${port} for ${this.service}`);
 	}
 
+	/** Writes to the store that the worker is reached through another port. */
+	registerAt(port) {
+		this.linkPort = port;
+		this.born = Date.now();
+		this.register('ready');
+	}
+
 	register(state) {
 		this.isRegistered = true;
 		this.deployment.store.put(`servers/${this.id}`, {
 			service: this.service,
-			addr: `127.0.0.1:${this.port}`,
+			addr: `127.0.0.1:${this.linkPort ?? this.port}`,
 			zone: 'recife-a',
 			version: 'v1',
 			slots: this.slots,
