Send while stopping only what certainly ends before the exit

Cause: a request also counted as ending in time if 1.5 times the longest of the latest 64 requests of its route did. 80 streams of 0.8 s let one of 7 s begin with 4.5 s left. An estimate stood in for a promise.

Change: only the limit of the request, its route's time-out or its deadline, decides; it is compared before each send, as before. That covers bodies that come late, retries and resumed streams. Related paths: requests that wait for room or for a connection when the stop begins are refused at once instead of late or, once connected, being sent. What the exit cuts is logged as cut; it was not logged, or as abandoned by the caller.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -107,6 +107,13 @@
 		this.isDraining = true;
 	}
 
+	/** Refuses the requests that wait to be sent and may not end before the process exits. */
+	public refuseWaiting(): void {
+		for (const exchange of this.exchanges) {
+			exchange.handleStop();
+		}
+	}
+
 	/** Refuses all further requests, since no time is left to serve them. */
 	public startRefusing(): void {
 		this.isRefusing = true;
@@ -120,6 +127,13 @@
 		}
 	}
 
+	/** Breaks off the answers that have not ended, since the process exits now. */
+	public resetAnswers(): void {
+		for (const exchange of this.exchanges) {
+			exchange.resetAtExit();
+		}
+	}
+
 	/** Stops accepting connections. */
 	public closeListener(): void {
 		// The method of the HTTP server would also close connections that the runtime takes to be idle; see below.
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -45,7 +45,6 @@
 	private readonly deadlineAtMs: number;
 	private attempt: RunningAttempt | undefined;
 	private ticket: AdmissionTicket | undefined;
-	private firstSentAtMs: number | undefined;
 	private lastEventId: string | undefined;
 	private hasForwardedEvents = false;
 	/** Whether the caller got events that no later attempt can be told of. */
@@ -120,7 +119,7 @@
 			this.sendNext();
 			return;
 		}
-		if (!this.isEndExpectedBeforeExit) {
+		if (!this.isEndCertainBeforeExit) {
 			this.refuse('draining', STOPPING_DETAIL);
 			return;
 		}
@@ -164,6 +163,13 @@
 		}
 	}
 
+	/** Refuses a request that was not sent yet and may not end before the process exits; called when a stop begins. */
+	public handleStop(): void {
+		if (this.attempt?.isSent !== true && !this.isEndCertainBeforeExit) {
+			this.endBeforeExit();
+		}
+	}
+
 	/** Answers a request whose answer has not begun, since the process exits. */
 	public endBeforeExit(): void {
 		if (!this.isEnded && !this.callerResponse.hasStarted) {
@@ -172,6 +178,15 @@
 		}
 	}
 
+	/** Breaks off an answer that has begun, since the process exits now. */
+	public resetAtExit(): void {
+		if (!this.isEnded) {
+			this.cancelAttempt();
+			this.callerResponse.reset();
+			this.end('cut', { detail: STOPPING_DETAIL });
+		}
+	}
+
 	/**
 	 * Moves a repeatable request off a target that has stopped sending. Inactivity alone does not end an attempt: the
 	 * request stays on its target unless another target is available and the retry budget allows a further send.
@@ -223,7 +238,7 @@
 	}
 
 	private sendNext(): void {
-		if (!this.isEndExpectedBeforeExit) {
+		if (!this.isEndCertainBeforeExit) {
 			this.refuse('draining', STOPPING_DETAIL);
 			return;
 		}
@@ -254,7 +269,6 @@
 		const { target } = placement;
 		const isRelayed = placement.reason === 'relay';
 		const nowMs = performance.now();
-		this.firstSentAtMs ??= nowMs;
 		const isResumedStream = this.hasForwardedEvents;
 		const response = new AttemptResponse({
 			response: this.callerResponse,
@@ -319,13 +333,6 @@
 		};
 	}
 
-	private recordDuration(): void {
-		const { request, route } = this.input;
-		if (request.lastEventId === undefined && this.firstSentAtMs !== undefined) {
-			this.parts.durations.record(route.name, performance.now() - this.firstSentAtMs);
-		}
-	}
-
 	private recordAnswering({ run }: RunningAttempt): void {
 		if (run !== undefined) {
 			this.parts.crashes.recordAnswering(run, performance.now());
@@ -349,7 +356,6 @@
 		switch (result.kind) {
 			case 'delivered':
 				attempt.target.health.recordResponse(false, performance.now());
-				this.recordDuration();
 				if (isSuccess(result.status) && attempt.run !== undefined) {
 					this.parts.crashes.recordAnswered(attempt.run, performance.now());
 				}
@@ -488,7 +494,7 @@
 				hasEligibleTarget: this.history.hasEligibleTarget,
 				hasResponseStarted: this.callerResponse.hasStarted,
 				isResumable: route.isResumable && this.hasResumePoint,
-				hasTimeLeft: this.deadlineAtMs - performance.now() > MIN_ATTEMPT_MS && this.isEndExpectedBeforeExit,
+				hasTimeLeft: this.deadlineAtMs - performance.now() > MIN_ATTEMPT_MS && this.isEndCertainBeforeExit,
 			},
 			mayHaveRun,
 		);
@@ -511,7 +517,7 @@
 			this.refuse('targetFailed', detail);
 			return;
 		}
-		if (!this.isEndExpectedBeforeExit) {
+		if (!this.isEndCertainBeforeExit) {
 			this.refuse('draining', detail);
 			return;
 		}
@@ -531,11 +537,9 @@
 		return this.hasForwardedEvents && !this.hasUnidentifiedEvents && this.lastEventId !== undefined;
 	}
 
-	/** Whether the request, if it is sent now, should end before this instance does. */
-	private get isEndExpectedBeforeExit(): boolean {
-		const { durations, readTimeToExit } = this.parts;
-		const remainingMs = this.deadlineAtMs - performance.now();
-		return durations.isEndExpected(this.input.route.name, readTimeToExit(), remainingMs);
+	/** Whether the request ends before this instance does, however long its target takes. */
+	private get isEndCertainBeforeExit(): boolean {
+		return this.deadlineAtMs - performance.now() <= this.parts.readTimeToExit();
 	}
 
 	/** Priority of the customer, or of the route if the customer has none; 0 is the most urgent. */
@@ -548,9 +552,6 @@
 			return;
 		}
 		const wasSent = this.attempt?.isSent === true || this.history.runs > 0;
-		if (this.attempt !== undefined) {
-			this.recordDuration();
-		}
 		this.cancelAttempt();
 		if (this.callerResponse.hasStarted || this.fallback !== undefined) {
 			this.endWithFailure('timeout', 'the time limit passed');
--- a/packages/gateway/src/node/exchangeParts.ts
+++ b/packages/gateway/src/node/exchangeParts.ts
@@ -5,7 +5,6 @@
 import type { FleetInstance } from '../common/peerState.js';
 import type { PromptChain } from '../common/promptChain.js';
 import type { RelayedRequest } from '../common/relayHeaders.js';
-import type { RequestDurations } from '../common/requestDurations.js';
 import type { StreamOrigin } from '../common/streamOrigins.js';
 import type { TargetState } from '../common/targetState.js';
 import type { TargetTable } from '../common/targetTable.js';
@@ -56,8 +55,6 @@
 	readonly findStreamOrigin: (attemptId: string | undefined, service: string) => Promise<OriginLookup>;
 	/** Makes known to the fleet what began a stream, before the caller gets its first event. */
 	readonly recordStreamOrigin: (attemptId: string, origin: StreamOrigin) => void;
-	/** How long requests take; decides what is still sent while the instance stops. */
-	readonly durations: RequestDurations;
 	/** Time until what is in flight is ended, since the process exits, in ms; infinity unless it is stopping. */
 	readonly readTimeToExit: () => number;
 	/** Returns a random number in [0, 1). */
--- a/packages/gateway/src/node/gateway.ts
+++ b/packages/gateway/src/node/gateway.ts
@@ -19,7 +19,6 @@
 import { PeerRoutes } from '../common/peerRoutes.js';
 import type { ExplainResult, RequestQuestion } from '../common/requestExplanation.js';
 import { InstanceRoster } from '../common/instanceRoster.js';
-import { RequestDurations } from '../common/requestDurations.js';
 import { RetryBudgets } from '../common/retryBudgets.js';
 import type { RetryBudgetSettings } from '../common/retryBudget.js';
 import { MAX_RETRY_DELAY_MS } from '../common/retryBudget.js';
@@ -386,7 +385,6 @@
 				recordStreamOrigin: (attemptId, origin) => {
 					this.streamOriginSync.record(attemptId, origin);
 				},
-				durations: new RequestDurations(),
 				readTimeToExit: () => this.shutdown.computeTimeToExit(performance.now()),
 				random: Math.random,
 				readTargetsAge: () => this.view.computeAge(performance.now()),
--- a/packages/gateway/src/node/shutdown.ts
+++ b/packages/gateway/src/node/shutdown.ts
@@ -64,6 +64,7 @@
 		const { server, log, announce } = this.parts;
 		this.state = { kind: 'announced', startedAtMs: performance.now() };
 		server.startDraining();
+		server.refuseWaiting();
 		announce();
 		log.write('state', 'drainStarted', { requestsInFlight: server.requestsInFlight });
 	}
@@ -107,6 +108,7 @@
 			requestsInFlight: inFlight,
 			elapsedMs: Math.round(nowMs - state.startedAtMs),
 		});
+		server.resetAnswers();
 		this.resolveEnded();
 	}
 }
