Take an answer with status 101 for none

Callers: a request that a target answered with 101, which no request asks for, got its answer only at its time-out.

Cause: all statuses below 200 were skipped as interim responses; after 101 nothing that follows is HTTP.

Change: the parser rejects it as malformed.

Test: oddStatuses.test.ts, with sockets.

--- a/packages/gateway/src/common/responseParser.ts
+++ b/packages/gateway/src/common/responseParser.ts
@@ -38,6 +38,8 @@
 /** Limit of the interim responses before a response, and of the trailer after it. */
 const MAX_EXTRA_BYTES = 65_536;
 const MAX_CHUNK_LINE_BYTES = 4096;
+/** No request asks for it, and what follows it is not HTTP. */
+const HTTP_SWITCHING_PROTOCOLS = 101;
 const HEAD_END = '\r\n\r\n';
 /** A field name is a token of RFC 9110, section 5.6.2. */
 const HEADER_NAME_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
@@ -263,6 +265,9 @@
 		throw new ResponseFormatError('The status line is malformed.');
 	}
 	const status = Number(match[2]);
+	if (status === HTTP_SWITCHING_PROTOCOLS) {
+		throw new ResponseFormatError('The answer switches to another protocol.');
+	}
 	const headers = new Map<string, string>();
 	const rawHeaders: string[] = [];
 	for (const line of lines.slice(1)) {
