Ask again whether a connection was reset before its answer counts

Callers: a target answered an upload at once with 200 and no length, sent one event, ended its connection and reset it 5 ms later, with the upload unread.

Cause: a write asked for a reset at the moment of the end only. In the 20 ms in which the gateway then looks whether the target lives, the runtime reads no more and reports no reset; a body that the kernel holds whole leaves nothing to write that could fail.

Change: the question is asked again before the answer counts, for requests over 64 KiB no sooner than 250 ms after the end. It is a write of no bytes: it fails on a connection that was reset, while bytes would make a target that closed the connection in order reset it.

--- a/packages/gateway/src/node/targetConnection.ts
+++ b/packages/gateway/src/node/targetConnection.ts
@@ -5,6 +5,7 @@
  */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { ResponseHandler, ResponseHead } from '../common/responseParser.js';
 import { ResponseParser } from '../common/responseParser.js';
 
@@ -12,6 +13,10 @@
 const KEEP_ALIVE_PROBE_DELAY_MS = 1000;
 /** A target counts its keep-alive time-out from its last byte and states it in rounded seconds: stay well below. */
 const KEEP_ALIVE_MARGIN_MS = 500;
+/** A target may answer before it has read a longer request, and its kernel resets the connection if it never reads it. */
+const MAX_PROMPTLY_READ_BYTES = 65_536;
+/** Time after the end of a connection in which such a reset is waited for. */
+const RESET_NOTICE_MS = 250;
 
 export type ConnectionFailure =
 	/** The connection was not established, so nothing was sent. */
@@ -70,6 +75,8 @@
 	private idleSinceMs: number | undefined;
 	private idleLimitMs: number;
 	private pendingWrite: (() => void) | undefined;
+	/** Size of the request in flight. */
+	private requestBytes = 0;
 	/** Whether the target has ended its side of the connection. */
 	private hasPeerEnded = false;
 	private foundEvidence: EndEvidence | undefined;
@@ -161,8 +168,10 @@
 				return;
 			}
 			this.parser = new ResponseParser(method, this);
+			this.requestBytes = 0;
 			this.socket.cork();
 			for (const part of bytes) {
+				this.requestBytes += part.length;
 				this.socket.write(part);
 			}
 			this.socket.uncork();
@@ -292,39 +301,33 @@
 		this.hasPeerEnded = true;
 		const { parser, listener } = this;
 		if (parser !== undefined && listener !== undefined && parser.endsWithConnection) {
-			this.checkForReset(parser);
+			void this.finishWithConnection(parser);
 			return;
 		}
 		this.fail('broken', 'the connection ended before the answer was whole');
 	}
 
-	/**
-	 * The event loop reports a reset right after the last bytes as an orderly end. A write tells the two apart: it
-	 * fails on a connection that was reset. Targets ignore an empty line between requests.
-	 */
-	private checkForReset(parser: ResponseParser): void {
-		this.socket.write('\r\n', (error) => {
-			if (this.listener === undefined) {
-				return;
-			}
-			if (error !== undefined && error !== null) {
-				this.fail('broken', 'the connection was reset before the answer was whole');
-				return;
-			}
-			void this.checkForDeath(parser);
-		});
-	}
-
-	/** The kernel ends the connections of a process that dies in the same orderly way. */
-	private async checkForDeath(parser: ResponseParser): Promise<void> {
+	/** Completes the response, unless the target has reset the connection or died. */
+	private async finishWithConnection(parser: ResponseParser): Promise<void> {
+		const endedAtMs = performance.now();
+		if (!(await this.checkForReset())) {
+			return;
+		}
 		this.foundEvidence = await this.options.findEndEvidence();
 		if (!this.isAwaitingResponse()) {
 			return;
 		}
 		if (this.foundEvidence === undefined) {
+			// The kernel ends the connections of a process that dies in the same orderly way.
 			this.fail('broken', 'the target died as the connection ended');
 			return;
 		}
+		if (this.requestBytes > MAX_PROMPTLY_READ_BYTES) {
+			await sleep(RESET_NOTICE_MS - (performance.now() - endedAtMs));
+		}
+		if (!(await this.checkForReset())) {
+			return;
+		}
 		this.handleResponse(() => {
 			parser.finish();
 		});
@@ -334,6 +337,22 @@
 		}
 	}
 
+	/**
+	 * Fails the request if the connection was reset, which the event loop does not report after its end, or reports as its
+	 * end. A write tells, also of no bytes; others would make a target reset a connection that it has closed in order.
+	 * Returns whether the response is still awaited.
+	 */
+	private checkForReset(): Promise<boolean> {
+		return new Promise((resolve) => {
+			this.socket.write('', (error) => {
+				if (error !== undefined && error !== null) {
+					this.fail('broken', 'the connection was reset before the answer was whole');
+				}
+				resolve(this.isAwaitingResponse());
+			});
+		});
+	}
+
 	private isAwaitingResponse(): boolean {
 		return this.listener !== undefined;
 	}
