Give unread answers a share of the memory, in it one for each customer

Callers: while 24 callers of one customer read nothing of answers that a target sends without end, nearly all requests of all others were refused with 503 (memoryShort), though the process was far from its limit.

Cause: unread answers and requests drew on one budget. Each answer could hold as much as was still free, so that n of them left 1/(n + 1) of it, less what was read at once; a request needs some kB of it at its arrival. An answer that is collected before its first byte is sent was never paused.

Change: answers have three quarters of the budget and never take what is left to requests; in it each customer has a share, and half a share stays free for another. Above it, the customer's answers that hold more than the mean are read no further. A collected answer is sent as far as it has come when it may hold no more.

--- a/packages/gateway/src/common/memoryBudget.ts
+++ b/packages/gateway/src/common/memoryBudget.ts
@@ -1,8 +1,9 @@
 /**
  * Limits what one process holds for others: requests, their bodies, and answers that were read from targets but not yet
  * taken by callers. As the budget fills, the answers with the most unread bytes are paused first, then answers whose
- * callers take nothing are lost, and at last requests are refused.
+ * callers take nothing are lost, and at last requests are refused. Unread answers alone never lead to a refusal.
  */
+import { CustomerShares } from './customerShares.js';
 import type { EventLog } from './eventLog.js';
 
 /**
@@ -23,6 +24,12 @@
 const PROMPT_PART_BYTES = 200;
 /** Size of the objects that the runtime keeps for a part of an answer that was written and not taken. */
 const WRITE_BYTES = 500;
+/** Share of the budget for unread answers. The rest is left to requests, however many callers do not read. */
+const ANSWER_SHARE = 0.75;
+/** An answer may hold so many times what is free. */
+const FREE_FACTOR = 2;
+/** A paused answer goes on when it holds less than this part of what it may, so that it does not pause at its next bytes. */
+const RESUME_SHARE = 0.4;
 /** Free share of the budget below which memory is short, so that answers which stay unread are lost. */
 const SHORT_SHARE = 0.125;
 /** Free share of the budget from which on memory is no longer short. */
@@ -68,8 +75,10 @@
 }
 
 export class MemoryBudget {
+	/** What is held of answers, by customer. */
+	public readonly answers: CustomerShares;
 	private readonly requests = new Set<HeldMemory>();
-	private totalBytes = 0;
+	private requestBytes = 0;
 	private wasShort = false;
 	/** Bytes of the budget that a byte of the heap takes, so that neither the budget nor the heap's share is exceeded. */
 	private readonly heapWeight: number;
@@ -79,14 +88,20 @@
 		private readonly parts: MemoryBudgetParts,
 	) {
 		this.heapWeight = Math.max(1, limitBytes / (HEAP_SHARE * parts.heapLimitBytes));
+		this.answers = new CustomerShares(limitBytes * ANSWER_SHARE);
 	}
 
 	public get heldBytes(): number {
-		return this.totalBytes;
+		return this.requestBytes + this.answers.heldBytes;
 	}
 
-	public get freeBytes(): number {
-		return Math.max(0, this.limitBytes - this.totalBytes);
+	/** What further answers may take. */
+	public get freeAnswerBytes(): number {
+		return Math.min(this.answers.freeBytes, this.freeBytes);
+	}
+
+	private get freeBytes(): number {
+		return Math.max(0, this.limitBytes - this.heldBytes);
 	}
 
 	/**
@@ -101,7 +116,8 @@
 
 	/** Whether a body, or a further part of one, fits. */
 	public hasRoomFor(bytes: number): boolean {
-		return this.totalBytes + bytes <= this.limitBytes;
+		const answerBytes = Math.min(this.answers.heldBytes, this.answers.limitBytes);
+		return this.requestBytes + answerBytes + bytes <= this.limitBytes;
 	}
 
 	/** Returns how much of the budget objects of this size take. */
@@ -124,9 +140,9 @@
 		}
 	}
 
-	/** Called by the accounts. */
+	/** Called by the accounts, for what they hold of requests. */
 	public add(bytes: number): void {
-		this.totalBytes += bytes;
+		this.requestBytes += bytes;
 	}
 
 	/** Called by an account that ends. */
@@ -146,7 +162,7 @@
 		}
 		this.wasShort = isShort;
 		this.parts.log.write('state', isShort ? 'memoryShort' : 'memoryRegained', {
-			heldBytes: this.totalBytes,
+			heldBytes: this.heldBytes,
 			limitBytes: this.limitBytes,
 			requests: this.requests.size,
 		});
@@ -165,7 +181,7 @@
 			this.parts.log.write('decision', 'unreadAnswerDropped', {
 				id: held.requestId,
 				unreadBytes: held.answerBytes,
-				heldBytes: this.totalBytes,
+				heldBytes: this.heldBytes,
 			});
 			held.drop();
 		}
@@ -176,6 +192,8 @@
 export class HeldMemory {
 	private bodyBytes = 0;
 	private unreadBytes = 0;
+	/** Empty until it is known, and on public routes. */
+	private customer = '';
 	private isReleased = false;
 	private hasStalled = false;
 	private isWatched = false;
@@ -200,6 +218,11 @@
 		return this.hasStalled;
 	}
 
+	/** Called when the customer of the caller is known, before anything of an answer is held. */
+	public setCustomer(customer: string): void {
+		this.customer = customer;
+	}
+
 	/** Adds a part of the request's body; false if it does not fit, and the request is to be refused. */
 	public addBody(bytes: number): boolean {
 		if (!this.budget.hasRoomFor(bytes)) {
@@ -222,17 +245,17 @@
 	public recordAnswer(bytes: number, writes: number): void {
 		if (!this.isReleased) {
 			const heldBytes = bytes + this.budget.weighHeapBytes(writes * WRITE_BYTES);
-			this.budget.add(heldBytes - this.unreadBytes);
+			this.budget.answers.update(this.customer, this.unreadBytes, heldBytes);
 			this.unreadBytes = heldBytes;
 		}
 	}
 
 	/**
-	 * Whether an answer under back-pressure is to be read no further: it may hold as much as is still free. So answers of
-	 * callers that take the least of what they are sent are paused first, and one caller cannot fill the budget.
+	 * Whether an answer that its caller does not take is to be read no further: it may hold as much as is still free, so that
+	 * those whose callers take the least are paused first, and what its customer's share allows.
 	 */
 	public shouldPause(): boolean {
-		return this.unreadBytes > this.budget.freeBytes;
+		return this.isAbove(this.unreadBytes);
 	}
 
 	/** Records that the answer is paused. `resume` is called when there is room for more of it. */
@@ -270,9 +293,9 @@
 		}
 	}
 
-	/** Lets a paused answer go on; half of the free room, so that it does not pause at its next bytes. */
+	/** Lets a paused answer go on if there is room. */
 	public resumeIfRoom(): void {
-		if (this.resume !== undefined && this.unreadBytes <= this.budget.freeBytes / 2) {
+		if (this.resume !== undefined && !this.isAbove(this.unreadBytes / RESUME_SHARE)) {
 			const { resume } = this;
 			this.resume = undefined;
 			resume();
@@ -296,4 +319,10 @@
 			this.budget.close(this);
 		}
 	}
+
+	/** Whether an answer of the customer may not hold so many bytes. */
+	private isAbove(bytes: number): boolean {
+		const { answers, freeAnswerBytes } = this.budget;
+		return bytes > FREE_FACTOR * freeAnswerBytes || answers.isAboveShare(this.customer, bytes);
+	}
 }
--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -12,7 +12,7 @@
 
 /** A longer body of a response that is not used is not read to its end. */
 const MAX_DISCARDED_BYTES = 65_536;
-/** Responses up to this size are buffered until complete, so that an attempt that breaks can still be retried. */
+/** While memory is free, responses up to this size are buffered until complete, so that an attempt that breaks can be retried. */
 const MAX_BUFFERED_BYTES = 262_144;
 
 export type AttemptFailure =
@@ -185,8 +185,8 @@
 
 	private collectBody(chunk: Buffer): void {
 		this.buffered.add(chunk);
-		this.options.response.recordBuffered(this.buffered.bytes);
-		if (this.buffered.bytes <= MAX_BUFFERED_BYTES || this.head === undefined) {
+		const mayBuffer = this.options.response.recordBuffered(this.buffered.bytes);
+		if ((mayBuffer && this.buffered.bytes <= MAX_BUFFERED_BYTES) || this.head === undefined) {
 			return;
 		}
 		this.bodyMode = 'relay';
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -51,10 +51,11 @@
 		this.recordBuffered(0);
 	}
 
-	/** Records how much of an answer is buffered before its first byte is sent. */
-	public recordBuffered(bytes: number): void {
+	/** Records how much of an answer is buffered before its first byte is sent. Returns whether more may be buffered. */
+	public recordBuffered(bytes: number): boolean {
 		this.bufferedBytes = bytes;
 		this.memory?.recordAnswer(this.unreadBytes, this.unreadWrites);
+		return this.memory?.shouldPause() !== true;
 	}
 
 	/** Starts a target's response whose body is streamed; its content length is kept if it has one. */
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -238,6 +238,7 @@
 	): void {
 		const { message, request, callerResponse, receivedAtMs, apiKey, relayed } = received;
 		const { memory } = callerResponse;
+		memory?.setCustomer(customer?.name ?? '');
 		if (this.options.memory?.hasRoomFor(Number(message.headers['content-length'] ?? 0)) === false) {
 			this.refuse(received, 'memoryShort', configurationVersion);
 			return;
