Hold the bodies of each customer to a share of the memory

Callers: one customer whose requests wait at targets that do not answer, 200 with bodies of 100 kB, filled the budget of an instance with 64 MB; requests of other customers were refused with 503 (memoryShort).

Cause: a body was accepted as long as it fitted, whoever sent it. It is the same class as unread answers: a use that one customer can extend at will shares a limit with what others need.

Change: bodies are shared out like unread answers. A body is refused if its customer is above its share and the body above the mean of it; a customer's only body may still fill the budget.

--- a/packages/gateway/src/common/customerShares.ts
+++ b/packages/gateway/src/common/customerShares.ts
@@ -37,10 +37,23 @@
 		}
 	}
 
+	public countRequests(customer: string): number {
+		return this.customers.get(customer)?.requests ?? 0;
+	}
+
 	/** Whether the customer holds more than its share, and a request that holds so many bytes more than the mean of it. */
 	public isAboveShare(customer: string, requestBytes: number): boolean {
+		return this.isAboveShareWith(customer, requestBytes, requestBytes);
+	}
+
+	/** Whether that would be so if a request of the customer held other bytes than now. */
+	public isAboveShareWith(customer: string, nowBytes: number, thenBytes: number): boolean {
 		const use = this.customers.get(customer);
+		if (use === undefined) {
+			return false;
+		}
 		const shareBytes = this.limitBytes / (this.customers.size + FREE_SHARES);
-		return use !== undefined && use.bytes > shareBytes && requestBytes > shareBytes / use.requests;
+		const requests = use.requests + Number(nowBytes === 0);
+		return use.bytes + thenBytes - nowBytes > shareBytes && thenBytes > shareBytes / requests;
 	}
 }
--- a/packages/gateway/src/common/memoryBudget.ts
+++ b/packages/gateway/src/common/memoryBudget.ts
@@ -75,10 +75,12 @@
 }
 
 export class MemoryBudget {
-	/** What is held of answers, by customer. */
+	/** What is held of answers. */
 	public readonly answers: CustomerShares;
+	/** What is held of the bodies of requests. */
+	public readonly bodies: CustomerShares;
 	private readonly requests = new Set<HeldMemory>();
-	private requestBytes = 0;
+	private objectBytes = 0;
 	private wasShort = false;
 	/** Bytes of the budget that a byte of the heap takes, so that neither the budget nor the heap's share is exceeded. */
 	private readonly heapWeight: number;
@@ -89,6 +91,7 @@
 	) {
 		this.heapWeight = Math.max(1, limitBytes / (HEAP_SHARE * parts.heapLimitBytes));
 		this.answers = new CustomerShares(limitBytes * ANSWER_SHARE);
+		this.bodies = new CustomerShares(limitBytes);
 	}
 
 	public get heldBytes(): number {
@@ -100,6 +103,10 @@
 		return Math.min(this.answers.freeBytes, this.freeBytes);
 	}
 
+	private get requestBytes(): number {
+		return this.objectBytes + this.bodies.heldBytes;
+	}
+
 	private get freeBytes(): number {
 		return Math.max(0, this.limitBytes - this.heldBytes);
 	}
@@ -140,9 +147,9 @@
 		}
 	}
 
-	/** Called by the accounts, for what they hold of requests. */
-	public add(bytes: number): void {
-		this.requestBytes += bytes;
+	/** Called by the accounts, for the objects of requests. */
+	public addObjects(bytes: number): void {
+		this.objectBytes += bytes;
 	}
 
 	/** Called by an account that ends. */
@@ -205,7 +212,7 @@
 		private readonly answer: UnreadAnswer,
 		private readonly requestBytes: number,
 	) {
-		budget.add(requestBytes);
+		budget.addObjects(requestBytes);
 	}
 
 	/** What is held of the answer because the caller has not taken it, as of the last update. */
@@ -218,27 +225,35 @@
 		return this.hasStalled;
 	}
 
-	/** Called when the customer of the caller is known, before anything of an answer is held. */
+	/** Called when the customer of the caller is known, before anything of a body or an answer is held. */
 	public setCustomer(customer: string): void {
 		this.customer = customer;
 	}
 
+	/** Whether a body, or a further part of one, fits in the budget and in the share of the customer. */
+	public hasRoomForBody(bytes: number): boolean {
+		const { bodies } = this.budget;
+		const isOnlyBody = bodies.countRequests(this.customer) <= Number(this.bodyBytes > 0);
+		return (
+			this.budget.hasRoomFor(bytes) &&
+			(isOnlyBody || !bodies.isAboveShareWith(this.customer, this.bodyBytes, this.bodyBytes + bytes))
+		);
+	}
+
 	/** Adds a part of the request's body; false if it does not fit, and the request is to be refused. */
 	public addBody(bytes: number): boolean {
-		if (!this.budget.hasRoomFor(bytes)) {
+		if (!this.hasRoomForBody(bytes)) {
 			return false;
 		}
 		if (!this.isReleased) {
-			this.bodyBytes += bytes;
-			this.budget.add(bytes);
+			this.updateBody(this.bodyBytes + bytes);
 		}
 		return true;
 	}
 
 	/** Called when the body is no longer needed. */
 	public releaseBody(): void {
-		this.budget.add(-this.bodyBytes);
-		this.bodyBytes = 0;
+		this.updateBody(0);
 	}
 
 	/** Records how much of the answer is held at this moment, in how many writes. */
@@ -312,7 +327,7 @@
 		if (!this.isReleased) {
 			this.releaseBody();
 			this.recordAnswer(0, 0);
-			this.budget.add(-this.requestBytes);
+			this.budget.addObjects(-this.requestBytes);
 			this.resume = undefined;
 			this.hasStalled = false;
 			this.isReleased = true;
@@ -320,6 +335,11 @@
 		}
 	}
 
+	private updateBody(bytes: number): void {
+		this.budget.bodies.update(this.customer, this.bodyBytes, bytes);
+		this.bodyBytes = bytes;
+	}
+
 	/** Whether an answer of the customer may not hold so many bytes. */
 	private isAbove(bytes: number): boolean {
 		const { answers, freeAnswerBytes } = this.budget;
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -239,7 +239,7 @@
 		const { message, request, callerResponse, receivedAtMs, apiKey, relayed } = received;
 		const { memory } = callerResponse;
 		memory?.setCustomer(customer?.name ?? '');
-		if (this.options.memory?.hasRoomFor(Number(message.headers['content-length'] ?? 0)) === false) {
+		if (memory?.hasRoomForBody(Number(message.headers['content-length'] ?? 0)) === false) {
 			this.refuse(received, 'memoryShort', configurationVersion);
 			return;
 		}
