Count the parts of events whose end has not come

Callers: a faulty target that sends parts of events and never their ends, on many streams at once, makes an instance hold up to 1 MiB for each of them. 80 streams held 72 MB at an instance with 64 MB for its process, which is killed at that; all requests that it serves end with it.

Cause: the limit was one of each event, and the budget of memory did not count them.

Change: the part counts as held for the answer. If the answer may hold no more, a part over 64 KiB is given up as an event that is too long: it cannot be sent before its end has come, so a pause would hold it for nothing.

--- a/packages/gateway/src/node/attemptResponse.ts
+++ b/packages/gateway/src/node/attemptResponse.ts
@@ -15,6 +15,9 @@
 /** While memory is free, responses up to this size are buffered until complete, so that an attempt that breaks can be retried. */
 const MAX_BUFFERED_BYTES = 262_144;
 
+/** A longer part of an event is given up if memory is short: it cannot be sent before its end has come. */
+const MAX_PARTIAL_EVENT_BYTES = 65_536;
+
 export type AttemptFailure =
 	/** No connection was established, so nothing was sent. */
 	| 'unreachable'
@@ -168,6 +171,7 @@
 	/** Cancels the attempt; no result is reported afterwards. */
 	public cancel(): void {
 		this.isSettled = true;
+		this.options.response.recordBuffered(0);
 		this.call?.cancel();
 	}
 
@@ -205,7 +209,10 @@
 			this.options.onEvent(event);
 			this.write(event.bytes);
 		}
-		if (this.scanner.isOverflowing) {
+		const partialBytes = this.scanner.rest.length;
+		const mayHold =
+			this.options.response.recordBuffered(partialBytes) || partialBytes <= MAX_PARTIAL_EVENT_BYTES;
+		if (this.scanner.isOverflowing || !mayHold) {
 			this.call?.cancel();
 			this.report(makeMalformedResult('an event is too long'));
 		}
@@ -269,6 +276,9 @@
 			return;
 		}
 		this.isSettled = true;
+		if (result.kind === 'failed') {
+			this.options.response.recordBuffered(0);
+		}
 		this.options.onResult(result);
 	}
 }
