review: case 11 with planned work only; ports that are given out once

Cause: a worker that drains and exits ends its channels as a crash does; and two findPort calls could get the same port, so that a case could not run.

--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -139,6 +139,18 @@
 		setTimeout(() => this.store.remove(key), 3 * pingMs).unref();
 	}
 
+	/** Reports that it drains, serves for `drainMs` and a little longer, exits and removes its entry. */
+	async leave(drainMs) {
+		this.recorder.note('workerDrains', { id: this.id });
+		this.register('draining');
+		await sleep(drainMs + 50);
+		this.link?.refuse();
+		const ended = once(this.child, 'exit');
+		this.child.kill('SIGTERM');
+		await ended;
+		this.store.remove(`servers/${this.id}`);
+	}
+
 	close() {
 		this.child?.kill('SIGKILL');
 		this.link?.close();
--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -14,15 +14,23 @@
 /** The run line of the deploy file, less its metrics port. */
 const PROGRAM = ['--max-old-space-size=200', '--max-semi-space-size=2', 'target/papayawell.mjs'];
 
+/** Ports that were given out, since the system may choose one again before it is used. */
+const givenPorts = new Set();
+
 export async function findPort(host = '127.0.0.1') {
-	const server = createTcpServer();
-	await new Promise((resolve, reject) => {
-		server.on('error', reject);
-		server.listen(0, host, resolve);
-	});
-	const { port } = server.address();
-	await new Promise((resolve) => server.close(resolve));
-	return port;
+	for (;;) {
+		const server = createTcpServer();
+		await new Promise((resolve, reject) => {
+			server.on('error', reject);
+			server.listen(0, host, resolve);
+		});
+		const { port } = server.address();
+		await new Promise((resolve) => server.close(resolve));
+		if (!givenPorts.has(port)) {
+			givenPorts.add(port);
+			return port;
+		}
+	}
 }
 
 /** Writes one line for each thing that was sent, answered or run. */
