--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -1,93 +1,19 @@
-/** Workers as processes behind links that can be cut, a client, and a small deployment of them. */
+/** Workers as processes, a client, and a small deployment of them. */
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { request } from 'node:http';
-import { connect, createServer } from 'node:net';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 import { Machine, Store, makeSettings, sleep } from './harness.mjs';
 
 const WORKER = fileURLToPath(new URL('worker.mjs', import.meta.url));
 
-/** A link to one worker. What a cut holds up is delivered when it heals, as TCP sends it again. */
-export class Link {
-	sockets = new Set();
-	held = [];
-	isCut = false;
-	/** Returns for how long the end of the channel with this number is held up; 0 if it is not. */
-	delayEnd = () => 0;
-	channels = 0;
-
-	/** Listens at the same port each time. A worker that does not run has no listener, unless a cut hides that. */
-	async listen(targetPort) {
-		this.targetPort = targetPort;
-		if (this.server?.listening === true) {
-			return;
-		}
-		this.server = createServer({ allowHalfOpen: true }, (near) => this.open(near));
-		await new Promise((resolve) => this.server.listen(this.port ?? 0, '127.0.0.1', resolve));
-		this.port = this.server.address().port;
-		this.address = `127.0.0.1:${this.port}`;
-	}
-
-	refuse() {
-		if (!this.isCut) {
-			this.server.close();
-		}
-	}
-
-	open(near) {
-		const number = this.channels++;
-		const far = connect({ port: this.targetPort, host: '127.0.0.1', allowHalfOpen: true, noDelay: true });
-		for (const socket of [near, far]) {
-			this.sockets.add(socket);
-			socket.on('close', () => this.sockets.delete(socket));
-		}
-		near.on('data', (data) => this.deliver(() => far.write(data)));
-		near.on('end', () => this.deliver(() => far.end()));
-		near.on('error', () => this.deliver(() => far.resetAndDestroy()));
-		near.on('close', () => this.deliver(() => far.destroy()));
-		far.on('data', (data) => this.deliver(() => near.write(data)));
-		far.on('end', () => this.deliver(() => near.end(), this.delayEnd(number)));
-		far.on('error', () => this.deliver(() => near.resetAndDestroy()));
-	}
-
-	deliver(action, delayMs = 0) {
-		if (this.isCut) {
-			this.held.push(action);
-		} else if (delayMs > 0) {
-			setTimeout(action, delayMs);
-		} else {
-			action();
-		}
-	}
-
-	cut() {
-		this.isCut = true;
-	}
-
-	heal() {
-		this.isCut = false;
-		for (const action of this.held.splice(0)) {
-			action();
-		}
-	}
-
-	close() {
-		this.server.close();
-		for (const socket of this.sockets) {
-			socket.destroy();
-		}
-	}
-}
-
-/** A worker: its process, its link, and its entry in the store. */
+/** A worker: its process and its entry in the store. */
 export class Worker {
 	starts = 0;
 
-	constructor(name, service, zone, store, recorder, hasLink) {
+	constructor(name, service, zone, store, recorder) {
 		Object.assign(this, { name, service, zone, store, recorder });
-		this.link = hasLink ? new Link() : undefined;
 	}
 
 	get id() {
@@ -113,12 +39,7 @@
 			});
 		});
 		this.port = await listening;
-		if (this.link === undefined) {
-			this.address = `127.0.0.1:${this.port}`;
-		} else {
-			await this.link.listen(this.port);
-			this.address = this.link.address;
-		}
+		this.address = `127.0.0.1:${this.port}`;
 		this.register('ready');
 	}
 
@@ -133,7 +54,6 @@
 		const key = `servers/${this.id}`;
 		const { child } = this;
 		const ended = once(child, 'exit');
-		this.link?.refuse();
 		child.kill('SIGKILL');
 		await ended;
 		setTimeout(() => this.store.remove(key), 3 * pingMs).unref();
@@ -144,7 +64,6 @@
 		this.recorder.note('workerDrains', { id: this.id });
 		this.register('draining');
 		await sleep(drainMs + 50);
-		this.link?.refuse();
 		const ended = once(this.child, 'exit');
 		this.child.kill('SIGTERM');
 		await ended;
@@ -153,7 +72,6 @@
 
 	close() {
 		this.child?.kill('SIGKILL');
-		this.link?.close();
 	}
 }
 
@@ -196,18 +114,17 @@
 /**
  * Starts a store, workers and machines.
  * @param zones the zone of each worker
- * @param hasLinks whether the workers are reached through links
  */
 export async function startFleet(
 	{ recorder, temporary, onEnd },
-	{ routes, zones, bounds = {}, machines = 1, hasLinks = false },
+	{ routes, zones, bounds = {}, machines = 1 },
 ) {
 	const store = new Store();
 	await store.listen();
 	onEnd(() => store.close());
 	const workers = [];
 	for (const [index, zone] of zones.entries()) {
-		const worker = new Worker(`w${index}`, 'huvo11a', zone, store, recorder, hasLinks);
+		const worker = new Worker(`w${index}`, 'huvo11a', zone, store, recorder);
 		onEnd(() => worker.close());
 		await worker.start();
 		workers.push(worker);
