review: a case that breaks off ends what it started

Cause: a case that was stopped or threw outside its run left processes. Change: both end the case with exit code 2.

--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -391,6 +391,10 @@
 		process.stdout.write(`${text}\n`);
 		process.exit(code);
 	};
+	process.on('uncaughtException', (error) => finish(2, `the case could not run: ${error.stack ?? error}`));
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.on(signal, () => finish(2, `the case was stopped by ${signal}`));
+	}
 	try {
 		const { isBroken, text } = await run({
 			recorder,
